--- /dev/null
+++ b/kingcupvane/connection/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one connection: callers, targets and peers."""
--- /dev/null
+++ b/kingcupvane/connection/messages.py
@@ -0,0 +1,213 @@
+"""Messages between daemons, and between the operator's commands and daemons.
+
+Each is a tagged structure, so that what arrives is checked when decoded.
+"""
+
+import hashlib
+import hmac
+
+import msgspec
+
+MAC_BYTES = 16
+
+
+class Stamp(msgspec.Struct, frozen=True, order=True, array_like=True):
+    """A hybrid logical time: wall milliseconds and a counter."""
+
+    wall_ms: int = 0
+    counter: int = 0
+
+
+class MemberBeat(msgspec.Struct, frozen=True, array_like=True):
+    """The latest that is known of one daemon.
+
+    Attributes:
+        name: Name of the entry.
+        incarnation: Start time of its process, in Unix milliseconds.
+        beat: Heartbeats since its start.
+        leaving: It has begun its graceful shutdown.
+    """
+
+    name: str
+    incarnation: int
+    beat: int
+    leaving: bool = False
+
+
+class Heartbeat(msgspec.Struct, frozen=True, tag="heartbeat", kw_only=True):
+    """Periodic push of what a daemon knows; the reply is one, too.
+
+    Attributes:
+        sender: Name of the sending entry.
+        address: Its address for peers.
+        revision: Configuration revision that it has in force.
+        digest: Digest of that configuration.
+        beats: Daemons of its data centre.
+        crashes: Fingerprints of requests that are refused for crashes.
+        confirmed_age_s: Seconds since the sender's revision was known to be
+            the store's.
+    """
+
+    sender: str
+    address: str
+    revision: int
+    digest: str
+    beats: list[MemberBeat] = []
+    crashes: list[str] = []
+    confirmed_age_s: float = float("inf")
+
+
+class ConfigurationRequest(
+    msgspec.Struct, frozen=True, tag="configuration-request", kw_only=True
+):
+    """Asks a peer for its configuration if that is newer."""
+
+    revision: int
+
+
+class ConfigurationReply(
+    msgspec.Struct, frozen=True, tag="configuration-reply", kw_only=True
+):
+    """A whole configuration as JSON, empty when it is not newer."""
+
+    document: str
+
+
+class LoanRequest(
+    msgspec.Struct, frozen=True, tag="loan-request", kw_only=True
+):
+    """Asks another entry to lend slots of a target for a short time."""
+
+    sender: str
+    target: str
+    slots: int
+
+
+class LoanReply(msgspec.Struct, frozen=True, tag="loan-reply", kw_only=True):
+    """Slots that were lent, for `ttl_s` seconds from the request on."""
+
+    slots: int
+    ttl_s: float
+
+
+class StatusRequest(
+    msgspec.Struct, frozen=True, tag="status-request", kw_only=True
+):
+    """Asks a daemon what it does."""
+
+
+class StatusReply(
+    msgspec.Struct, frozen=True, tag="status-reply", kw_only=True
+):
+    """What a daemon does and has concluded.
+
+    Attributes:
+        name: Name of the entry.
+        data_centre: Its data centre.
+        revision: Configuration revision in force.
+        digest: Digest of that configuration.
+        leaving: It has begun its graceful shutdown.
+        conclusions: One plain sentence for each thing that it has concluded.
+    """
+
+    name: str
+    data_centre: str
+    revision: int
+    digest: str
+    leaving: bool
+    conclusions: list[str]
+
+
+class TimelineRequest(
+    msgspec.Struct, frozen=True, tag="timeline-request", kw_only=True
+):
+    """Asks a daemon for its events after a stamp."""
+
+    after: Stamp = Stamp()
+
+
+class EventRecord(msgspec.Struct, frozen=True, order=True, array_like=True):
+    """One event of the time line.
+
+    Attributes:
+        stamp: When it happened.
+        process: Name of the process.
+        kind: Stable word for the kind of event.
+        fields: Further facts, as alternating names and values.
+    """
+
+    stamp: Stamp
+    process: str
+    kind: str
+    fields: list[str] = []
+
+
+class TimelineReply(
+    msgspec.Struct, frozen=True, tag="timeline-reply", kw_only=True
+):
+    """Events of one process, oldest first."""
+
+    events: list[EventRecord]
+    dropped: int
+
+
+Message = (
+    Heartbeat
+    | ConfigurationRequest
+    | ConfigurationReply
+    | LoanRequest
+    | LoanReply
+    | StatusRequest
+    | StatusReply
+    | TimelineRequest
+    | TimelineReply
+)
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """A message with the sender's hybrid logical time."""
+
+    stamp: Stamp
+    message: Message
+
+
+class FrameError(Exception):
+    """Bytes that are no message, or whose authentication code is wrong."""
+
+
+class FrameCodec:
+    """Turns envelopes into authenticated frames and back."""
+
+    def __init__(self, *, secret: bytes):
+        """Makes a codec.
+
+        Args:
+            secret: The secret that all daemons share; empty for none.
+        """
+        self._secret = hashlib.sha256(secret).digest() if secret else b""
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(Envelope)
+
+    def encode(self, envelope: Envelope) -> bytes:
+        """Returns the frame of an envelope."""
+        payload = self._encoder.encode(envelope)
+        return self._mac(payload) + payload
+
+    def decode(self, frame: bytes) -> Envelope:
+        """Returns the envelope in a frame.
+
+        Raises:
+            FrameError: The frame is not authentic or holds no message.
+        """
+        mac, payload = frame[:MAC_BYTES], frame[MAC_BYTES:]
+        if not hmac.compare_digest(mac, self._mac(payload)):
+            raise FrameError("wrong authentication code")
+        try:
+            return self._decoder.decode(payload)
+        except msgspec.MsgspecError as error:
+            raise FrameError(str(error)) from error
+
+    def _mac(self, payload: bytes) -> bytes:
+        return hashlib.blake2b(
+            payload, digest_size=MAC_BYTES, key=self._secret
+        ).digest()
--- /dev/null
+++ b/kingcupvane/connection/peer.py
@@ -0,0 +1,130 @@
+"""Connections between daemons, over pynng request and reply sockets."""
+
+from collections.abc import Awaitable, Callable
+
+import pynng
+import trio
+from loguru import logger
+from result import Err, Ok, Result
+
+from kingcupvane.connection.messages import (
+    Envelope,
+    FrameCodec,
+    FrameError,
+    Message,
+)
+from kingcupvane.errors import PeerError
+from kingcupvane.process.timeline import HybridClock
+
+WORKERS = 8
+MESSAGE_MAX_BYTES = 2 * 1024 * 1024
+MILLISECONDS = 1000
+
+PeerHandler = Callable[[Message], Awaitable[Message | None]]
+
+
+class PeerServer:
+    """Answers messages of other daemons."""
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        codec: FrameCodec,
+        clock: HybridClock,
+        handler: PeerHandler,
+    ):
+        """Makes a server; `run` binds its socket."""
+        self._address = address
+        self._codec = codec
+        self._clock = clock
+        self._handler = handler
+
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serves until cancelled."""
+        with pynng.Rep0() as socket:
+            socket.recv_max_size = MESSAGE_MAX_BYTES
+            socket.listen(f"tcp://{self._address}")
+            task_status.started()
+            async with trio.open_nursery() as nursery:
+                for _ in range(WORKERS):
+                    nursery.start_soon(self._work, socket.new_context())
+
+    async def _work(self, context: pynng.Context) -> None:
+        with context:
+            while True:
+                frame = await context.arecv()
+                try:
+                    envelope = self._codec.decode(frame)
+                except FrameError as error:
+                    logger.warning("event=peer-frame-refused why={!r}", error)
+                    continue
+                self._clock.receive(envelope.stamp)
+                reply = await self._handler(envelope.message)
+                if reply is not None:
+                    answer = Envelope(self._clock.tick(), reply)
+                    await context.asend(self._codec.encode(answer))
+
+
+class PeerClient:
+    """Sends messages to other daemons; owns one socket for each address."""
+
+    def __init__(
+        self, *, codec: FrameCodec, clock: HybridClock, timeout_s: float
+    ):
+        """Makes a client.
+
+        Args:
+            codec: Encodes and authenticates.
+            clock: The process's hybrid clock.
+            timeout_s: Longest wait for an answer, in seconds.
+        """
+        self._codec = codec
+        self._clock = clock
+        self._timeout_s = timeout_s
+        self._sockets_by_address: dict[str, pynng.Req0] = {}
+        self.sent_bytes = 0
+        self.received_bytes = 0
+
+    def close(self) -> None:
+        """Closes all sockets."""
+        for socket in self._sockets_by_address.values():
+            socket.close()
+        self._sockets_by_address.clear()
+
+    async def ask(
+        self, address: str, message: Message
+    ) -> Result[Message, PeerError]:
+        """Sends a message and returns the answer."""
+        step = type(message).__name__
+        frame = self._codec.encode(Envelope(self._clock.tick(), message))
+        self.sent_bytes += len(frame)
+        try:
+            with trio.fail_after(self._timeout_s):
+                answer = await self._exchange(address, frame)
+            envelope = self._codec.decode(answer)
+        except (trio.TooSlowError, pynng.NNGException, FrameError) as error:
+            detail = type(error).__name__
+            return Err(PeerError(step=step, peer=address, detail=detail))
+        self.received_bytes += len(answer)
+        self._clock.receive(envelope.stamp)
+        return Ok(envelope.message)
+
+    async def _exchange(self, address: str, frame: bytes) -> bytes:
+        socket = self._socket(address)
+        with socket.new_context() as context:
+            await context.asend(frame)
+            return await context.arecv()
+
+    def _socket(self, address: str) -> pynng.Req0:
+        socket = self._sockets_by_address.get(address)
+        if socket is None:
+            socket = pynng.Req0(resend_time=0)
+            socket.recv_max_size = MESSAGE_MAX_BYTES
+            socket.reconnect_time_min = 50
+            socket.reconnect_time_max = MILLISECONDS
+            socket.dial(f"tcp://{address}", block=False)
+            self._sockets_by_address[address] = socket
+        return socket
--- /dev/null
+++ b/kingcupvane/connection/target.py
@@ -0,0 +1,243 @@
+"""Connections to targets: one exchange owns a connection until it is whole.
+
+httpcore closes a connection whose exchange was cancelled, cut or cut short,
+so an answer that comes late can never reach another request.
+"""
+
+import enum
+from collections.abc import AsyncIterator, Mapping
+from dataclasses import dataclass
+
+import httpcore
+import trio
+
+from kingcupvane.asgi import Send
+from kingcupvane.version.items import Target
+
+CONNECTIONS_PER_TARGET = 64
+KEEPALIVE_S = 30.0
+CONNECT_TIMEOUT_S = 1.0
+NOT_RUN_HEADER = "not-run"
+UNAVAILABLE = 503
+HOP_HEADERS = frozenset(
+    {"connection", "keep-alive", "transfer-encoding", "upgrade", "te"}
+)
+
+
+class FailureKind(enum.StrEnum):
+    """Why an exchange gave no whole answer."""
+
+    NOT_SENT = "not-sent"
+    SHED = "shed"
+    BROKEN = "broken"
+    TIMEOUT = "timeout"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Outbound:
+    """A request as a target gets it; it never carries the caller's key.
+
+    Attributes:
+        method: HTTP method.
+        path: Path within the service, with the query.
+        headers: Header values by name.
+        body: The whole body.
+    """
+
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Answer:
+    """A whole answer, held in memory or already passed on.
+
+    Attributes:
+        status: HTTP status code.
+        headers: Header pairs without those of the connection.
+        body: The body, empty when it was streamed.
+        streamed: Whether the caller has it already.
+    """
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    streamed: bool = False
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Failure:
+    """An exchange without a whole answer.
+
+    Attributes:
+        kind: Class of the failure.
+        detail: What was seen.
+        begun: Whether the caller already has a part of the answer.
+    """
+
+    kind: FailureKind
+    detail: str
+    begun: bool = False
+
+
+class AnswerSink:
+    """Passes a large or endless answer on to the caller as it comes."""
+
+    def __init__(self, *, send: Send):
+        """Wraps the caller's ASGI send function."""
+        self._send = send
+        self.begun = False
+
+    async def begin(
+        self, status: int, headers: list[tuple[bytes, bytes]]
+    ) -> None:
+        """Sends status and headers."""
+        self.begun = True
+        await self._send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": headers,
+            }
+        )
+
+    async def write(self, data: bytes) -> None:
+        """Sends a part of the body."""
+        await self._send(
+            {"type": "http.response.body", "body": data, "more_body": True}
+        )
+
+    async def end(self) -> None:
+        """Ends the body."""
+        await self._send({"type": "http.response.body", "body": b""})
+
+
+class TargetClient:
+    """Carries requests to targets."""
+
+    def __init__(self, *, whole_max_bytes: int):
+        """Makes a client.
+
+        Args:
+            whole_max_bytes: Answers up to this size are read whole first.
+        """
+        self._whole_max_bytes = whole_max_bytes
+        self._pools_by_address: dict[str, httpcore.AsyncConnectionPool] = {}
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        for pool in self._pools_by_address.values():
+            await pool.aclose()
+
+    async def exchange(
+        self, target: Target, outbound: Outbound, sink: AnswerSink | None
+    ) -> Answer | Failure:
+        """Sends a request and reads its whole answer.
+
+        Args:
+            target: Where to send it.
+            outbound: The request.
+            sink: Takes answers that are too large to hold; without one they
+                are held all the same.
+        """
+        pool = self._pool(target.address)
+        headers = {
+            **outbound.headers,
+            "host": target.address,
+            "content-length": str(len(outbound.body)),
+        }
+        try:
+            async with pool.stream(
+                outbound.method,
+                f"http://{target.address}{outbound.path}",
+                headers=headers,
+                content=outbound.body,
+                extensions={"timeout": {"connect": CONNECT_TIMEOUT_S}},
+            ) as response:
+                return await self._read(response, sink)
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+            return Failure(kind=FailureKind.NOT_SENT, detail=_name(error))
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ) as error:
+            begun = sink is not None and sink.begun
+            return Failure(
+                kind=FailureKind.BROKEN, detail=_name(error), begun=begun
+            )
+
+    async def is_listening(self, target: Target) -> bool:
+        """Returns whether a target takes connections."""
+        host, _, port = target.address.rpartition(":")
+        with trio.move_on_after(CONNECT_TIMEOUT_S):
+            try:
+                stream = await trio.open_tcp_stream(host, int(port))
+            except OSError:
+                return False
+            await stream.aclose()
+            return True
+        return False
+
+    async def _read(
+        self, response: httpcore.Response, sink: AnswerSink | None
+    ) -> Answer | Failure:
+        headers = [
+            (name.lower(), value)
+            for name, value in response.headers
+            if name.lower().decode() not in HOP_HEADERS
+        ]
+        names = dict(headers)
+        parts: list[bytes] = []
+        size = 0
+        chunks = response.aiter_stream()
+        async for chunk in chunks:
+            parts.append(chunk)
+            size += len(chunk)
+            if sink is not None and size > self._whole_max_bytes:
+                await self._pass_on(
+                    response.status, headers, parts, chunks, sink
+                )
+                return Answer(
+                    status=response.status,
+                    headers=headers,
+                    body=b"",
+                    streamed=True,
+                )
+        if response.status == UNAVAILABLE and NOT_RUN_HEADER.encode() in names:
+            return Failure(kind=FailureKind.SHED, detail="shed")
+        return Answer(
+            status=response.status, headers=headers, body=b"".join(parts)
+        )
+
+    async def _pass_on(
+        self,
+        status: int,
+        headers: list[tuple[bytes, bytes]],
+        parts: list[bytes],
+        rest: AsyncIterator[bytes],
+        sink: AnswerSink,
+    ) -> None:
+        await sink.begin(status, headers)
+        for part in parts:
+            await sink.write(part)
+        async for chunk in rest:
+            await sink.write(chunk)
+        await sink.end()
+
+    def _pool(self, address: str) -> httpcore.AsyncConnectionPool:
+        pool = self._pools_by_address.get(address)
+        if pool is None:
+            pool = httpcore.AsyncConnectionPool(
+                max_connections=CONNECTIONS_PER_TARGET,
+                max_keepalive_connections=CONNECTIONS_PER_TARGET,
+                keepalive_expiry=KEEPALIVE_S,
+            )
+            self._pools_by_address[address] = pool
+        return pool
+
+
+def _name(error: Exception) -> str:
+    return type(error).__name__
--- /dev/null
+++ b/kingcupvane/hashing.py
@@ -0,0 +1,8 @@
+"""Hashes that spread names evenly; not for secrets."""
+
+import xxhash
+
+
+def spread(text: str) -> int:
+    """Returns a 64-bit hash of text, equal in all processes."""
+    return xxhash.xxh64_intdigest(text.encode())
--- /dev/null
+++ b/kingcupvane/process/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one daemon process."""
--- /dev/null
+++ b/kingcupvane/process/ledger.py
@@ -0,0 +1,194 @@
+"""Writes at-most-once records to the store, many orders in one write."""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+import msgspec
+import trio
+from result import Err, Ok, Result
+
+from kingcupvane.clock import Clock
+from kingcupvane.errors import StoreError
+from kingcupvane.process.store import Conflict, Item, Store
+from kingcupvane.request.order import Operation, Outcome, Segment, apply
+from kingcupvane.settings import OrderSettings
+
+SEGMENTS_KEPT = 256
+LEASE_REUSE_S = 600.0
+RETRY_S = 0.05
+BATCH_MAX = 512
+
+
+@dataclass(kw_only=True, slots=True)
+class _Pending:
+    operation: Operation
+    done: trio.Event = field(default_factory=trio.Event)
+    outcome: Outcome | None = None
+    failure: StoreError | None = None
+
+
+@dataclass(kw_only=True, slots=True)
+class _Writer:
+    pending: list[_Pending] = field(default_factory=list)
+    busy: bool = False
+    item: Item | None = None
+
+
+class OrderLedger:
+    """Group commit of operations on segments.
+
+    Attributes:
+        writes: Writes made.
+        operations: Operations that took effect.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        clock: Clock,
+        settings: OrderSettings,
+        nursery: trio.Nursery,
+    ):
+        """Makes a ledger; its writers run in `nursery`."""
+        self._store = store
+        self._clock = clock
+        self._settings = settings
+        self._nursery = nursery
+        self._writers_by_key: OrderedDict[str, _Writer] = OrderedDict()
+        self._lease = 0
+        self._lease_at = 0.0
+        self.writes = 0
+        self.operations = 0
+
+    async def submit(
+        self, segment_key: str, operation: Operation
+    ) -> Result[Outcome, StoreError]:
+        """Applies an operation and waits until the store has it.
+
+        When this is cancelled or fails, the record may still be written
+        later; the caller must then not dispatch.
+        """
+        writer = self._writer(segment_key)
+        pending = _Pending(operation=operation)
+        writer.pending.append(pending)
+        if not writer.busy:
+            writer.busy = True
+            self._nursery.start_soon(self._write_all, segment_key, writer)
+        try:
+            await pending.done.wait()
+        finally:
+            if not pending.done.is_set() and pending in writer.pending:
+                writer.pending.remove(pending)
+        if pending.outcome is None:
+            return Err(pending.failure)
+        return Ok(pending.outcome)
+
+    def _writer(self, segment_key: str) -> _Writer:
+        writer = self._writers_by_key.setdefault(segment_key, _Writer())
+        self._writers_by_key.move_to_end(segment_key)
+        self._drop_idle()
+        return writer
+
+    def _drop_idle(self) -> None:
+        while len(self._writers_by_key) > SEGMENTS_KEPT:
+            key, writer = next(iter(self._writers_by_key.items()))
+            if writer.busy:
+                return
+            del self._writers_by_key[key]
+
+    async def _write_all(self, key: str, writer: _Writer) -> None:
+        try:
+            while writer.pending:
+                batch = writer.pending[:BATCH_MAX]
+                del writer.pending[:BATCH_MAX]
+                await self._write(key, writer, batch)
+        finally:
+            writer.busy = False
+
+    async def _write(
+        self, key: str, writer: _Writer, batch: list[_Pending]
+    ) -> None:
+        lease = await self._segment_lease()
+        if isinstance(lease, Err):
+            _fail(batch, lease.err_value)
+            return
+        uncertain = False
+        while True:
+            if writer.item is None:
+                found = await self._store.get(key)
+                if isinstance(found, Err):
+                    _fail(batch, found.err_value)
+                    return
+                writer.item = found.ok_value
+            reply = await self._swap(key, writer, batch, lease=lease.ok_value)
+            match reply:
+                case Ok():
+                    return
+                case Err(Conflict(current=current)):
+                    if current.revision == writer.item.revision:
+                        self._lease = 0
+                        lease = await self._segment_lease()
+                        if isinstance(lease, Err):
+                            _fail(batch, lease.err_value)
+                            return
+                    writer.item = current
+                case Err(StoreError() as error):
+                    writer.item = None
+                    if uncertain or not error.may_have_happened:
+                        _fail(batch, error)
+                        return
+                    uncertain = True
+
+    async def _swap(
+        self, key: str, writer: _Writer, batch: list[_Pending], *, lease: int
+    ) -> Result[Item, Conflict | StoreError]:
+        item = writer.item
+        segment = _decode(item)
+        applied = apply(segment, [pending.operation for pending in batch])
+        reply: Result = Ok(item)
+        if applied.changed:
+            self.writes += 1
+            value = msgspec.json.encode(applied.segment).decode()
+            reply = await self._store.swap(
+                key, value, expected=item.revision, lease=lease
+            )
+        if isinstance(reply, Ok):
+            if applied.changed:
+                writer.item = Item(
+                    key=key, value=value, revision=reply.ok_value.revision
+                )
+            _settle(batch, applied.outcomes)
+            self.operations += len(batch)
+        return reply
+
+    async def _segment_lease(self) -> Result[int, StoreError]:
+        """Returns a lease that outlives the retention of a new record."""
+        now = self._clock.now()
+        if self._lease and now - self._lease_at < LEASE_REUSE_S:
+            return Ok(self._lease)
+        settings = self._settings
+        ttl_s = settings.retention_s + 2 * settings.skew_s + LEASE_REUSE_S
+        granted = await self._store.grant(ttl_s)
+        if isinstance(granted, Ok):
+            self._lease = granted.ok_value
+            self._lease_at = now
+        return granted
+
+
+def _decode(item: Item) -> Segment:
+    if not item.value:
+        return Segment()
+    return msgspec.json.decode(item.value, type=Segment)
+
+
+def _settle(batch: list[_Pending], outcomes: list[Outcome]) -> None:
+    for pending, outcome in zip(batch, outcomes, strict=True):
+        pending.outcome = outcome
+        pending.done.set()
+
+
+def _fail(batch: list[_Pending], error: StoreError) -> None:
+    for pending in batch:
+        pending.failure = error
+        pending.done.set()
--- /dev/null
+++ b/kingcupvane/process/membership.py
@@ -0,0 +1,132 @@
+"""Which daemons are alive, from heartbeats and the platform's VM list.
+
+Beats are counters. A daemon is alive while its counter grows, whoever passes
+the news on, so no clock is compared with another daemon's.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from kingcupvane.connection.messages import MemberBeat
+from kingcupvane.settings import HeartbeatSettings
+
+LEAVING_STATE = "leaving"
+
+
+@dataclass(kw_only=True, slots=True)
+class _Member:
+    beat: MemberBeat
+    heard_at: float
+
+
+class Membership:
+    """The daemons of one data centre, as one of them sees them."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        incarnation: int,
+        settings: HeartbeatSettings,
+    ):
+        """Starts knowing only itself.
+
+        Args:
+            name: Name of this entry.
+            incarnation: Start time of this process, in Unix milliseconds.
+            settings: Periods and timeouts.
+        """
+        self._settings = settings
+        self._own = MemberBeat(name, incarnation, 0)
+        self._members_by_name: dict[str, _Member] = {}
+        self._listed_leaving: frozenset[str] = frozenset()
+        self._far_leaving_by_name: dict[str, MemberBeat] = {}
+
+    @property
+    def leaving(self) -> bool:
+        """Whether this daemon has begun its graceful shutdown."""
+        return self._own.leaving
+
+    def beat(self) -> None:
+        """Counts a heartbeat of this daemon."""
+        own = self._own
+        self._own = MemberBeat(
+            own.name, own.incarnation, own.beat + 1, own.leaving
+        )
+
+    def leave(self) -> None:
+        """Says from now on that this daemon is leaving."""
+        own = self._own
+        self._own = MemberBeat(own.name, own.incarnation, own.beat + 1, True)
+
+    def beats(self) -> list[MemberBeat]:
+        """Returns what to pass on, this daemon first."""
+        others = [m.beat for m in self._members_by_name.values()]
+        return [self._own, *others]
+
+    def hear(self, beats: Iterable[MemberBeat], now: float) -> None:
+        """Takes in what a peer passed on."""
+        for beat in beats:
+            if beat.name == self._own.name:
+                continue
+            known = self._members_by_name.get(beat.name)
+            if known is None or _newer(beat, known.beat):
+                self._members_by_name[beat.name] = _Member(
+                    beat=beat, heard_at=now
+                )
+
+    def hear_far(self, beats: Iterable[MemberBeat]) -> None:
+        """Takes in who is leaving in another data centre."""
+        known = self._far_leaving_by_name
+        for beat in beats:
+            before = known.get(beat.name)
+            if before is not None and not _newer(beat, before):
+                continue
+            if beat.leaving:
+                known[beat.name] = beat
+            else:
+                known.pop(beat.name, None)
+
+    def list_leaving(self, names: Iterable[str]) -> None:
+        """Takes in the names that the VM list calls leaving."""
+        self._listed_leaving = frozenset(names)
+
+    def keep(self, names: Iterable[str]) -> None:
+        """Drops daemons other than these of the data centre."""
+        kept = set(names)
+        for name in list(self._members_by_name):
+            if name not in kept:
+                del self._members_by_name[name]
+
+    def is_alive(self, name: str, now: float) -> bool:
+        """Returns whether a daemon was heard of lately."""
+        if name == self._own.name:
+            return True
+        member = self._members_by_name.get(name)
+        if member is None:
+            return False
+        return now - member.heard_at < self._settings.dead_after_s
+
+    def is_leaving(self, name: str) -> bool:
+        """Returns whether any source says that a daemon is leaving."""
+        if name in self._listed_leaving or name in self._far_leaving_by_name:
+            return True
+        if name == self._own.name:
+            return self._own.leaving
+        member = self._members_by_name.get(name)
+        return member is not None and member.beat.leaving
+
+    def live(self, now: float) -> list[str]:
+        """Returns the names of daemons that may get work, sorted."""
+        names = [self._own.name, *self._members_by_name]
+        return sorted(
+            name
+            for name in names
+            if self.is_alive(name, now) and not self.is_leaving(name)
+        )
+
+
+def _newer(beat: MemberBeat, known: MemberBeat) -> bool:
+    left = (beat.incarnation, beat.beat, beat.leaving)
+    right = (known.incarnation, known.beat, known.leaving)
+    return left > right
--- /dev/null
+++ b/kingcupvane/process/relay.py
@@ -0,0 +1,83 @@
+"""The relay: the one daemon of a data centre that watches the store.
+
+It holds a leased role. Others get configurations from it and from each other
+by heartbeats, so store calls grow with data centres and not with daemons.
+"""
+
+from collections.abc import Callable
+
+import trio
+from result import Err, Ok
+
+from kingcupvane.process.replica import Replica
+from kingcupvane.process.role import Role
+from kingcupvane.process.store import Store
+from kingcupvane.settings import StoreSettings
+from kingcupvane.version.configuration import STORE_KEY
+
+PAUSE_S = 0.5
+CANDIDATES = 2
+
+
+class Relay:
+    """Watches the configuration while it holds the role."""
+
+    def __init__(
+        self,
+        *,
+        role: Role,
+        store: Store,
+        replica: Replica,
+        settings: StoreSettings,
+    ):
+        """Makes the task's state.
+
+        Args:
+            role: The leased role.
+            store: The platform's store.
+            replica: Gets newer configurations.
+            settings: Longest wait of a watch.
+        """
+        self._role = role
+        self._store = store
+        self._replica = replica
+        self._settings = settings
+        self._seen = 0
+
+    async def run(self) -> None:
+        """Watches whenever the role is held, until cancelled."""
+        while True:
+            if not self._role.holds():
+                self._seen = 0
+                await trio.sleep(PAUSE_S)
+                continue
+            await self.watch_once()
+
+    async def watch_once(self) -> None:
+        """Makes one watch call and takes in what it returns."""
+        reply = await self._store.watch(
+            STORE_KEY, after=self._seen, wait_s=self._settings.watch_s
+        )
+        if isinstance(reply, Err):
+            await trio.sleep(PAUSE_S)
+            return
+        listing = reply.ok_value
+        for item in listing.items:
+            self._seen = max(self._seen, item.revision)
+            self._replica.offer(item.value, source="store")
+        self._replica.confirm(self._replica.current.revision)
+
+
+async def drive_role(role: Role, *, is_candidate: Callable[[], bool]) -> None:
+    """Keeps trying to win or renew a role until cancelled."""
+    while True:
+        wait_s = await role.step(candidate=is_candidate())
+        await trio.sleep(wait_s)
+
+
+async def fetch_once(store: Store, replica: Replica) -> None:
+    """Reads the configuration once, at the start of a daemon."""
+    found = await store.get(STORE_KEY)
+    if isinstance(found, Ok) and found.ok_value.value:
+        replica.offer(found.ok_value.value, source="store")
+        replica.confirm(replica.current.revision)
--- /dev/null
+++ b/kingcupvane/process/sharing.py
@@ -0,0 +1,106 @@
+"""The task that keeps an entry's part of the accounts' rates up to date."""
+
+import msgspec
+import trio
+from result import Err, Ok
+
+from kingcupvane.clock import Clock
+from kingcupvane.process.replica import Replica
+from kingcupvane.process.store import Conflict, Item, Store
+from kingcupvane.process.timeline import Timeline
+from kingcupvane.request.admission import Admission
+from kingcupvane.settings import ShareSettings
+from kingcupvane.version.share import STORE_KEY, ShareHolder, ShareRecord
+
+ATTEMPTS = 4
+
+
+class ShareTask:
+    """Reads, plans, writes and confirms the division of rates."""
+
+    def __init__(
+        self,
+        *,
+        holder: ShareHolder,
+        admission: Admission,
+        store: Store,
+        replica: Replica,
+        clock: Clock,
+        timeline: Timeline,
+        settings: ShareSettings,
+    ):
+        """Makes the task's state.
+
+        Args:
+            holder: Decides; does no I/O.
+            admission: Gets new shares.
+            store: The platform's store.
+            replica: Knows accounts and entries.
+            clock: Monotonic clock.
+            timeline: Gets the end and return of loans.
+            settings: Periods of the division.
+        """
+        self._holder = holder
+        self._admission = admission
+        self._store = store
+        self._replica = replica
+        self._clock = clock
+        self._timeline = timeline
+        self._settings = settings
+        self._lapsed = True
+
+    async def run(self) -> None:
+        """Rebalances until cancelled."""
+        while True:
+            await self.round()
+            await trio.sleep(self._settings.period_s)
+
+    async def round(self) -> None:
+        """Makes one rebalancing."""
+        found = await self._store.get(STORE_KEY)
+        if isinstance(found, Ok):
+            await self._write(found.ok_value)
+        self._admission.resize(self._replica.current)
+        self._note_lapse()
+
+    async def release(self) -> None:
+        """Gives all shares back, for a graceful shutdown."""
+        self._holder.release()
+        await self.round()
+
+    async def _write(self, item: Item) -> None:
+        for _ in range(ATTEMPTS):
+            current = self._replica.current
+            record = ShareRecord()
+            if item.value:
+                record = msgspec.json.decode(item.value, type=ShareRecord)
+            planned = self._holder.plan(
+                record,
+                current.items.accounts,
+                current.entries_by_name,
+                self._clock.now(),
+            )
+            self._admission.resize(current)
+            if planned is None:
+                return
+            started_at = self._clock.now()
+            reply = await self._store.swap(
+                STORE_KEY,
+                msgspec.json.encode(planned).decode(),
+                expected=item.revision,
+            )
+            match reply:
+                case Ok():
+                    self._holder.confirm(planned, started_at=started_at)
+                    return
+                case Err(Conflict(current=found)):
+                    item = found
+                case Err():
+                    return
+
+    def _note_lapse(self) -> None:
+        lapsed = self._clock.now() >= self._holder.loans_end_at()
+        if lapsed != self._lapsed:
+            self._lapsed = lapsed
+            kind = "rate-loans-ended" if lapsed else "rate-loans-held"
+            self._timeline.record(kind, share=self._settings.loan_ttl_s)
--- /dev/null
+++ b/kingcupvane/process/store.py
@@ -0,0 +1,252 @@
+"""The platform's store: the interface, and its one adapter over HTTP.
+
+Only the adapter knows the wire format. Another platform needs another
+adapter of the same five methods.
+"""
+
+from dataclasses import dataclass
+from typing import Protocol
+from urllib.parse import quote, urlencode
+
+import httpcore
+import msgspec
+import trio
+from result import Err, Ok, Result
+
+from kingcupvane.errors import StoreError
+
+ABSENT = 0
+CONFLICT = 409
+NOT_FOUND = 404
+TOO_MANY = 429
+OK_MAX = 299
+CONNECTIONS_MAX = 32
+WATCH_SLACK_S = 2.0
+
+
+class Item(msgspec.Struct, frozen=True, kw_only=True):
+    """One value of the store.
+
+    Attributes:
+        key: Its key.
+        value: Its bytes as text.
+        revision: Grows with each write of any key; 0 when the key is absent.
+    """
+
+    key: str
+    value: str = ""
+    revision: int = ABSENT
+
+
+class Listing(msgspec.Struct, frozen=True, kw_only=True):
+    """Values under a prefix, and the store's revision when they were read."""
+
+    items: list[Item]
+    revision: int
+
+
+class VmRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """One line of the platform's lagging list of VMs."""
+
+    name: str
+    state: str
+
+
+class VmListing(msgspec.Struct, frozen=True, kw_only=True):
+    """The platform's list of VMs."""
+
+    vms: list[VmRecord]
+
+
+class LeaseGrant(msgspec.Struct, frozen=True, kw_only=True):
+    """A lease that the store has granted."""
+
+    lease: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Conflict:
+    """A compare-and-swap that found another revision.
+
+    Attributes:
+        current: What the key holds now.
+    """
+
+    current: Item
+
+
+class Store(Protocol):
+    """What the project needs of a platform's store."""
+
+    async def get(self, key: str) -> Result[Item, StoreError]:
+        """Returns the item; its revision is `ABSENT` when there is none."""
+
+    async def scan(self, prefix: str) -> Result[Listing, StoreError]:
+        """Returns all items whose key starts with `prefix`."""
+
+    async def swap(
+        self, key: str, value: str, *, expected: int, lease: int = 0
+    ) -> Result[Item, Conflict | StoreError]:
+        """Writes `value` if the key's revision is `expected`."""
+
+    async def grant(self, ttl_s: float) -> Result[int, StoreError]:
+        """Returns a new lease that lives for `ttl_s` seconds."""
+
+    async def renew(self, lease: int) -> Result[bool, StoreError]:
+        """Prolongs a lease; false when it has ended."""
+
+    async def revoke(self, lease: int) -> Result[bool, StoreError]:
+        """Ends a lease and removes what is bound to it."""
+
+    async def watch(
+        self, prefix: str, *, after: int, wait_s: float
+    ) -> Result[Listing, StoreError]:
+        """Waits for items under `prefix` newer than revision `after`."""
+
+    async def vms(self) -> Result[list[VmRecord], StoreError]:
+        """Returns the platform's list of VMs, which lags."""
+
+
+class HttpStore:
+    """Adapter to a store that speaks the small HTTP protocol in docs.
+
+    Attributes:
+        calls: Calls made since the start, by operation.
+    """
+
+    def __init__(self, *, address: str, timeout_s: float):
+        """Makes an adapter.
+
+        Args:
+            address: Host and port of the store.
+            timeout_s: Longest wait for one call, in seconds.
+        """
+        self._address = address
+        self._timeout_s = timeout_s
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=CONNECTIONS_MAX
+        )
+        self.calls: dict[str, int] = {}
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._pool.aclose()
+
+    async def get(self, key: str) -> Result[Item, StoreError]:
+        """Returns the item; its revision is `ABSENT` when there is none."""
+        reply = await self._call("get", "GET", f"/v1/kv/{quote(key)}")
+        return _decode(reply, Item)
+
+    async def scan(self, prefix: str) -> Result[Listing, StoreError]:
+        """Returns all items whose key starts with `prefix`."""
+        query = urlencode({"prefix": prefix})
+        reply = await self._call("scan", "GET", f"/v1/list?{query}")
+        return _decode(reply, Listing)
+
+    async def swap(
+        self, key: str, value: str, *, expected: int, lease: int = 0
+    ) -> Result[Item, Conflict | StoreError]:
+        """Writes `value` if the key's revision is `expected`."""
+        query = urlencode({"expected": expected, "lease": lease})
+        reply = await self._call(
+            "swap", "PUT", f"/v1/kv/{quote(key)}?{query}", value.encode()
+        )
+        if isinstance(reply, Err):
+            return reply
+        status, body = reply.ok_value
+        item = msgspec.json.decode(body, type=Item)
+        if status == CONFLICT:
+            return Err(Conflict(current=item))
+        return Ok(item)
+
+    async def grant(self, ttl_s: float) -> Result[int, StoreError]:
+        """Returns a new lease that lives for `ttl_s` seconds."""
+        query = urlencode({"ttl_s": ttl_s})
+        reply = await self._call("grant", "POST", f"/v1/leases?{query}")
+        return _decode(reply, LeaseGrant).map(lambda grant: grant.lease)
+
+    async def renew(self, lease: int) -> Result[bool, StoreError]:
+        """Prolongs a lease; false when it has ended."""
+        reply = await self._call("renew", "PUT", f"/v1/leases/{lease}")
+        return reply.map(lambda answer: answer[0] != NOT_FOUND)
+
+    async def revoke(self, lease: int) -> Result[bool, StoreError]:
+        """Ends a lease and removes what is bound to it."""
+        reply = await self._call("revoke", "DELETE", f"/v1/leases/{lease}")
+        return reply.map(lambda answer: answer[0] != NOT_FOUND)
+
+    async def watch(
+        self, prefix: str, *, after: int, wait_s: float
+    ) -> Result[Listing, StoreError]:
+        """Waits for items under `prefix` newer than revision `after`."""
+        query = urlencode({"prefix": prefix, "after": after, "wait_s": wait_s})
+        reply = await self._call(
+            "watch",
+            "GET",
+            f"/v1/watch?{query}",
+            timeout_s=wait_s + WATCH_SLACK_S,
+        )
+        return _decode(reply, Listing)
+
+    async def vms(self) -> Result[list[VmRecord], StoreError]:
+        """Returns the platform's list of VMs, which lags."""
+        reply = await self._call("vms", "GET", "/v1/vms")
+        return _decode(reply, VmListing).map(lambda listing: listing.vms)
+
+    async def _call(
+        self,
+        operation: str,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        *,
+        timeout_s: float = 0.0,
+    ) -> Result[tuple[int, bytes], StoreError]:
+        self.calls[operation] = self.calls.get(operation, 0) + 1
+        detail = "timeout"
+        with trio.move_on_after(timeout_s or self._timeout_s):
+            try:
+                answer = await self._pool.request(
+                    method,
+                    f"http://{self._address}{target}",
+                    content=body,
+                    headers={"content-length": str(len(body))},
+                )
+            except httpcore.ConnectError as error:
+                return self._fail(operation, str(error), settled=True)
+            except (
+                httpcore.NetworkError,
+                httpcore.ProtocolError,
+                httpcore.TimeoutException,
+            ) as error:
+                detail = type(error).__name__
+            else:
+                return self._settle(operation, answer)
+        return self._fail(operation, detail, settled=False)
+
+    def _settle(
+        self, operation: str, answer: httpcore.Response
+    ) -> Result[tuple[int, bytes], StoreError]:
+        status = answer.status
+        if status <= OK_MAX or status in (CONFLICT, NOT_FOUND):
+            return Ok((status, answer.content))
+        settled = status == TOO_MANY
+        return self._fail(operation, f"status {status}", settled=settled)
+
+    def _fail(
+        self, operation: str, detail: str, *, settled: bool
+    ) -> Err[StoreError]:
+        return Err(
+            StoreError(
+                step=operation,
+                peer=self._address,
+                detail=detail,
+                may_have_happened=not settled,
+            )
+        )
+
+
+def _decode(
+    reply: Result[tuple[int, bytes], StoreError], kind: type[msgspec.Struct]
+) -> Result:
+    return reply.map(lambda answer: msgspec.json.decode(answer[1], type=kind))
--- /dev/null
+++ b/kingcupvane/process/timeline.py
@@ -0,0 +1,90 @@
+"""The time line: events of all processes, ordered by hybrid logical clocks."""
+
+import heapq
+from collections import deque
+from collections.abc import Iterable, Iterator
+
+from loguru import logger
+
+from kingcupvane.clock import MILLISECONDS_PER_SECOND, Clock
+from kingcupvane.connection.messages import EventRecord, Stamp
+
+
+class HybridClock:
+    """A clock that never goes back and orders causes before effects."""
+
+    def __init__(self, *, clock: Clock):
+        """Starts at the wall time of `clock`."""
+        self._clock = clock
+        self._latest = Stamp()
+
+    def tick(self) -> Stamp:
+        """Returns a stamp greater than all before it."""
+        wall_ms = int(self._clock.wall() * MILLISECONDS_PER_SECOND)
+        if wall_ms > self._latest.wall_ms:
+            self._latest = Stamp(wall_ms, 0)
+        else:
+            self._latest = Stamp(self._latest.wall_ms, self._latest.counter + 1)
+        return self._latest
+
+    def receive(self, stamp: Stamp) -> None:
+        """Moves the clock past a stamp that a peer sent."""
+        self._latest = max(self._latest, stamp)
+
+
+class Timeline:
+    """The latest events of one process, in bounded memory.
+
+    Attributes:
+        dropped: Events that no longer fit.
+    """
+
+    def __init__(self, *, process: str, clock: HybridClock, capacity: int):
+        """Starts without events.
+
+        Args:
+            process: Name of this process.
+            clock: Its hybrid clock.
+            capacity: Most events kept.
+        """
+        self._process = process
+        self._clock = clock
+        self._events: deque[EventRecord] = deque(maxlen=capacity)
+        self.dropped = 0
+
+    def record(self, kind: str, **fields: object) -> None:
+        """Adds an event and logs it as one line."""
+        pairs = []
+        for name, value in fields.items():
+            pairs.extend((name, str(value)))
+        event = EventRecord(self._clock.tick(), self._process, kind, pairs)
+        if len(self._events) == self._events.maxlen:
+            self.dropped += 1
+        self._events.append(event)
+        logger.info("{}", render(event))
+
+    def since(self, stamp: Stamp) -> list[EventRecord]:
+        """Returns the events after `stamp`, oldest first."""
+        return [event for event in self._events if event.stamp > stamp]
+
+
+def quote(value: str) -> str:
+    """Returns a value as it stands in a key=value line."""
+    if value and not any(character in value for character in ' "='):
+        return value
+    return '"' + value.replace('"', "'") + '"'
+
+
+def render(event: EventRecord) -> str:
+    """Returns an event as one line of key=value pairs."""
+    names = event.fields[0::2]
+    values = event.fields[1::2]
+    pairs = [f"{n}={quote(v)}" for n, v in zip(names, values, strict=True)]
+    time = f"{event.stamp.wall_ms}.{event.stamp.counter}"
+    head = f"time_ms={time} process={event.process} event={event.kind}"
+    return " ".join([head, *pairs])
+
+
+def merged(timelines: Iterable[list[EventRecord]]) -> Iterator[EventRecord]:
+    """Yields the events of several processes in one order."""
+    return heapq.merge(*timelines)
--- /dev/null
+++ b/kingcupvane/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one request."""
--- /dev/null
+++ b/kingcupvane/request/admission.py
@@ -0,0 +1,70 @@
+"""Admission: whose request is it, and is the account within its rate."""
+
+from result import Err, Ok, Result
+
+from kingcupvane.clock import Clock
+from kingcupvane.errors import Refusal, Step
+from kingcupvane.request.bucket import Bucket
+from kingcupvane.request.context import RequestContext
+from kingcupvane.version.configuration import Configuration
+from kingcupvane.version.share import ShareHolder
+
+TOO_MANY = 429
+RETRY_AFTER_MAX_S = 10.0
+
+
+class Admission:
+    """Counts requests of client accounts against this entry's shares."""
+
+    def __init__(self, *, holder: ShareHolder, clock: Clock):
+        """Makes an admission without buckets.
+
+        Args:
+            holder: Says which rate and burst this entry may use.
+            clock: Monotonic clock.
+        """
+        self._holder = holder
+        self._clock = clock
+        self._buckets_by_account: dict[str, Bucket] = {}
+
+    def resize(self, configuration: Configuration) -> None:
+        """Takes in new shares; drops accounts that are gone."""
+        now = self._clock.now()
+        accounts = configuration.accounts_by_name
+        for name in list(self._buckets_by_account):
+            if name not in accounts:
+                del self._buckets_by_account[name]
+        for name, account in accounts.items():
+            bucket = self._buckets_by_account.get(name)
+            if bucket is None:
+                bucket = Bucket(now=now)
+                self._buckets_by_account[name] = bucket
+            share = self._holder.share(account, now)
+            bucket.resize(rate=share.rate, size=share.burst, now=now)
+
+    def admit(
+        self, context: RequestContext, configuration: Configuration
+    ) -> Result[None, Refusal]:
+        """Counts a request, or refuses it for its account's rate."""
+        now = self._clock.now()
+        account = configuration.accounts_by_name.get(context.account)
+        bucket = self._buckets_by_account.get(context.account)
+        if account is None or bucket is None:
+            wait_s = float("inf")
+        else:
+            self._holder.count_arrival(account.name, now)
+            share = self._holder.share(account, now)
+            if (share.rate, share.burst) != (bucket.rate, bucket.size):
+                bucket.resize(rate=share.rate, size=share.burst, now=now)
+            if bucket.take(now):
+                return Ok(None)
+            wait_s = bucket.wait_s(now)
+        return Err(
+            context.refuse(
+                TOO_MANY,
+                "rate-exceeded",
+                "The client account is above its rate.",
+                Step.ADMIT,
+                retry_after_s=min(wait_s, RETRY_AFTER_MAX_S),
+            )
+        )
--- /dev/null
+++ b/kingcupvane/request/dispatch.py
@@ -0,0 +1,409 @@
+"""Dispatch: a slot at a target, the exchange, and retries of safe requests."""
+
+import math
+from collections.abc import Callable, Iterator, Mapping
+from contextlib import contextmanager
+from dataclasses import dataclass
+
+import trio
+from result import Err, Ok, Result
+
+from kingcupvane.clock import Clock
+from kingcupvane.connection.target import (
+    Answer,
+    AnswerSink,
+    Failure,
+    FailureKind,
+    Outbound,
+    TargetClient,
+)
+from kingcupvane.errors import Executed, Refusal, Step
+from kingcupvane.process.timeline import Timeline
+from kingcupvane.request.concurrency import Observation
+from kingcupvane.request.context import RequestContext
+from kingcupvane.request.queue import FairQueue
+from kingcupvane.request.retry import CrashRegistry, RetryBudget
+from kingcupvane.request.routing import TargetBoard
+from kingcupvane.settings import QueueSettings, RetrySettings
+from kingcupvane.version.configuration import Configuration
+from kingcupvane.version.items import Target
+
+BAD_GATEWAY = 502
+UNAVAILABLE = 503
+GATEWAY_TIMEOUT = 504
+UNPROCESSABLE = 422
+SERVER_ERROR_MIN = 500
+OVERLOAD_RETRY_S = 1.0
+RECHECK_S = 0.05
+
+OBSERVATION_BY_FAILURE = {
+    FailureKind.NOT_SENT: Observation.UNREACHABLE,
+    FailureKind.SHED: Observation.SHED,
+    FailureKind.BROKEN: Observation.FAILURE,
+    FailureKind.TIMEOUT: Observation.FAILURE,
+}
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Sample:
+    """What one exchange showed about a version.
+
+    Attributes:
+        service: Name of the service.
+        version: Name of the version.
+        route: Prefix of the route.
+        failed: Whether the version failed.
+        latency_s: How long the exchange took, in seconds.
+    """
+
+    service: str
+    version: str
+    route: str
+    failed: bool
+    latency_s: float
+
+
+class Dispatcher:
+    """Sends requests to targets."""
+
+    def __init__(
+        self,
+        *,
+        board: TargetBoard,
+        client: TargetClient,
+        clock: Clock,
+        timeline: Timeline,
+        crashes: CrashRegistry,
+        queue: QueueSettings,
+        retry: RetrySettings,
+        shares: Callable[[str], Mapping[str, float]],
+        observe: Callable[[Sample], None],
+    ):
+        """Makes a dispatcher.
+
+        Args:
+            board: Knows the targets.
+            client: Owns the connections to them.
+            clock: Monotonic clock.
+            timeline: Gets ejections and crashes.
+            crashes: Knows requests that crash targets.
+            queue: Bounds of the wait for a slot.
+            retry: Bounds of retries.
+            shares: Returns each version's part of a service's traffic.
+            observe: Takes what each exchange showed.
+        """
+        self._board = board
+        self._client = client
+        self._clock = clock
+        self._timeline = timeline
+        self._crashes = crashes
+        self._queue_settings = queue
+        self._retry_settings = retry
+        self._budget = RetryBudget(settings=retry)
+        self._queues_by_service: dict[str, FairQueue] = {}
+        self._suspects = trio.Lock()
+        self._shares = shares
+        self._observe = observe
+        self.retries = 0
+
+    def waiting(self, service: str) -> int:
+        """Returns how many requests wait for a slot of a service."""
+        queue = self._queues_by_service.get(service)
+        return len(queue) if queue else 0
+
+    async def run(
+        self,
+        context: RequestContext,
+        configuration: Callable[[], Configuration],
+        sink: AnswerSink,
+    ) -> Result[Answer, Refusal]:
+        """Gets an answer for a request that needs no record.
+
+        Args:
+            context: The request.
+            configuration: Returns the revision in force.
+            sink: Takes answers that are too large to hold.
+        """
+        if self._crashes.is_refused(context.fingerprint, self._clock.now()):
+            return Err(refuse_crashing(context))
+        if self._crashes.is_suspect(context.fingerprint, self._clock.now()):
+            async with self._suspects:
+                return await self._attempts(context, configuration, sink)
+        return await self._attempts(context, configuration, sink)
+
+    async def _attempts(
+        self,
+        context: RequestContext,
+        configuration: Callable[[], Configuration],
+        sink: AnswerSink,
+    ) -> Result[Answer, Refusal]:
+        self._budget.earn()
+        tried: frozenset[str] = frozenset()
+        refusal = None
+        while True:
+            placed = await self.place(context, configuration, tried)
+            if isinstance(placed, Err):
+                return Err(refusal or placed.err_value)
+            target = placed.ok_value
+            result = await self.exchange(context, target, sink)
+            if isinstance(result, Answer):
+                return Ok(result)
+            refusal = explain(context, target, result)
+            tried |= {target.name}
+            if not self._may_retry(context, result, len(tried)):
+                return Err(refusal)
+            self.retries += 1
+
+    def _may_retry(
+        self, context: RequestContext, failure: Failure, attempts: int
+    ) -> bool:
+        now = self._clock.now()
+        if attempts >= self._retry_settings.attempts:
+            return False
+        if failure.begun or now >= context.deadline:
+            return False
+        if self._crashes.is_suspect(context.fingerprint, now):
+            return False
+        sent = failure.kind in (FailureKind.BROKEN, FailureKind.TIMEOUT)
+        if sent and not context.is_safe:
+            return False
+        return self._budget.spend()
+
+    async def place(
+        self,
+        context: RequestContext,
+        configuration: Callable[[], Configuration],
+        exclude: frozenset[str],
+    ) -> Result[Target, Refusal]:
+        """Takes a slot at a target, waiting a short time for one.
+
+        The caller of this must call `exchange` or `release` for the target.
+        """
+        service = context.service.name
+        queue = self._queues_by_service.setdefault(
+            service, FairQueue(depth=self._queue_settings.depth)
+        )
+        if not len(queue):
+            target = self._take(service, configuration(), exclude)
+            if target is not None:
+                return Ok(target)
+        now = self._clock.now()
+        until = min(now + self._queue_settings.wait_s, context.deadline)
+        while (now := self._clock.now()) < until:
+            turn = queue.join(context.account)
+            if turn is None:
+                return Err(_refuse_busy(context, "queue-full"))
+            try:
+                with trio.move_on_after(min(RECHECK_S, until - now)):
+                    await turn.wait()
+            finally:
+                queue.leave(context.account, turn)
+            target = self._take(service, configuration(), exclude)
+            if target is not None:
+                return Ok(target)
+        return Err(_refuse_busy(context, "no-capacity"))
+
+    def _take(
+        self, service: str, configuration: Configuration, exclude: frozenset
+    ) -> Target | None:
+        target = self._board.choose(
+            service,
+            configuration,
+            self._shares(service),
+            exclude=exclude,
+            now=self._clock.now(),
+        )
+        if target is not None:
+            self._board.load(target).start()
+        return target
+
+    def release(self, context: RequestContext, target: Target) -> None:
+        """Gives back a slot that was not used."""
+        self._board.finish(
+            target,
+            Observation.CANCELLED,
+            latency_s=0.0,
+            now=self._clock.now(),
+        )
+        self._wake(context.service.name)
+
+    def _wake(self, service: str) -> None:
+        queue = self._queues_by_service.get(service)
+        if queue:
+            queue.wake()
+
+    async def exchange(
+        self,
+        context: RequestContext,
+        target: Target,
+        sink: AnswerSink | None,
+    ) -> Answer | Failure:
+        """Sends a request to the target whose slot was taken."""
+        started_at = self._clock.now()
+        with self._slot(context, target) as slot:
+            remaining_s = context.deadline - started_at
+            outbound = outbound_request(context, remaining_s)
+            result: Answer | Failure = Failure(
+                kind=FailureKind.TIMEOUT, detail="deadline"
+            )
+            with trio.move_on_after(max(0.0, remaining_s)) as scope:
+                result = await self._client.exchange(target, outbound, sink)
+            if scope.cancelled_caught and sink is not None:
+                result = Failure(
+                    kind=FailureKind.TIMEOUT,
+                    detail="deadline",
+                    begun=sink.begun,
+                )
+            slot.result = result
+        await self._learn(context, target, result, started_at)
+        return result
+
+    @contextmanager
+    def _slot(
+        self, context: RequestContext, target: Target
+    ) -> Iterator["_Slot"]:
+        slot = _Slot()
+        started_at = self._clock.now()
+        try:
+            yield slot
+        finally:
+            now = self._clock.now()
+            ejected = self._board.finish(
+                target,
+                slot.observation(),
+                latency_s=now - started_at,
+                now=now,
+            )
+            if ejected:
+                self._timeline.record(
+                    "target-ejected",
+                    target=target.name,
+                    why=slot.observation().value,
+                )
+            self._wake(context.service.name)
+
+    async def _learn(
+        self,
+        context: RequestContext,
+        target: Target,
+        result: Answer | Failure,
+        started_at: float,
+    ) -> None:
+        if isinstance(result, Failure):
+            kind = result.kind
+            if kind in (FailureKind.NOT_SENT, FailureKind.SHED):
+                return
+            broken = kind is FailureKind.BROKEN and not result.begun
+            if broken and await self._blame_request(context, target):
+                return
+        failed = (
+            isinstance(result, Failure) or result.status >= SERVER_ERROR_MIN
+        )
+        self._observe(
+            Sample(
+                service=context.service.name,
+                version=target.version,
+                route=context.route.prefix,
+                failed=failed,
+                latency_s=self._clock.now() - started_at,
+            )
+        )
+
+    async def _blame_request(
+        self, context: RequestContext, target: Target
+    ) -> bool:
+        """Notes a crash; true when the target died in this exchange."""
+        if await self._client.is_listening(target):
+            return False
+        now = self._clock.now()
+        if self._crashes.add(context.fingerprint, target.name, now):
+            self._timeline.record(
+                "request-refused-for-crashes",
+                fingerprint=context.fingerprint,
+                account=context.account,
+                route=context.route.prefix,
+            )
+        self._timeline.record("target-died", target=target.name)
+        return True
+
+
+@dataclass(kw_only=True, slots=True)
+class _Slot:
+    result: Answer | Failure | None = None
+
+    def observation(self) -> Observation:
+        """Returns how the exchange ended, for the target's health."""
+        if self.result is None:
+            return Observation.CANCELLED
+        if isinstance(self.result, Failure):
+            return OBSERVATION_BY_FAILURE[self.result.kind]
+        if self.result.status >= SERVER_ERROR_MIN:
+            return Observation.FAILURE
+        return Observation.SUCCESS
+
+
+def outbound_request(context: RequestContext, remaining_s: float) -> Outbound:
+    """Returns the request as a target gets it, without the caller's key."""
+    headers = {
+        "client-account": context.account,
+        "request-timeout": f"{math.floor(remaining_s * 1000) / 1000}",
+    }
+    if context.idempotency_key:
+        headers["idempotency-key"] = context.idempotency_key
+    if context.content_type:
+        headers["content-type"] = context.content_type
+    if context.accept:
+        headers["accept"] = context.accept
+    path = context.path + (f"?{context.query}" if context.query else "")
+    return Outbound(
+        method=context.method, path=path, headers=headers, body=context.body
+    )
+
+
+def explain(
+    context: RequestContext, target: Target, failure: Failure
+) -> Refusal:
+    """Returns the refusal for an exchange that gave no whole answer."""
+    match failure.kind:
+        case FailureKind.NOT_SENT:
+            status, executed = BAD_GATEWAY, context.not_run()
+        case FailureKind.SHED:
+            status, executed = UNAVAILABLE, context.not_run()
+        case FailureKind.BROKEN:
+            status, executed = BAD_GATEWAY, Executed.UNKNOWN
+        case FailureKind.TIMEOUT:
+            status, executed = GATEWAY_TIMEOUT, Executed.UNKNOWN
+    step = Step.EXCHANGE
+    if failure.kind is FailureKind.NOT_SENT:
+        step = Step.CONNECT
+    shed = failure.kind is FailureKind.SHED
+    return Refusal(
+        status=status,
+        reason=f"target-{failure.kind.value}",
+        detail=f"The target gave no whole answer: {failure.detail}.",
+        step=step,
+        peer=target.name,
+        executed=executed,
+        retry_after_s=OVERLOAD_RETRY_S if shed else 0.0,
+    )
+
+
+def refuse_crashing(context: RequestContext) -> Refusal:
+    """Returns the refusal of a request that crashed several targets."""
+    return Refusal(
+        status=UNPROCESSABLE,
+        reason="request-crashes-targets",
+        detail="Targets died while they ran this request.",
+        step=Step.ROUTE,
+        executed=Executed.UNKNOWN,
+    )
+
+
+def _refuse_busy(context: RequestContext, reason: str) -> Refusal:
+    return context.refuse(
+        UNAVAILABLE,
+        reason,
+        "No healthy target has a free slot.",
+        Step.QUEUE,
+        retry_after_s=OVERLOAD_RETRY_S,
+    )
--- /dev/null
+++ b/kingcupvane/request/handler.py
@@ -0,0 +1,405 @@
+"""The way of a request from the caller's connection to its answer."""
+
+import re
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+import trio
+from result import Err, Ok, Result
+
+from kingcupvane import asgi, problem
+from kingcupvane.clock import Clock
+from kingcupvane.connection.target import Answer, AnswerSink
+from kingcupvane.errors import Executed, Refusal, Step
+from kingcupvane.process.metrics import Metrics
+from kingcupvane.process.timeline import Timeline
+from kingcupvane.request import authentication, retry
+from kingcupvane.request.admission import Admission
+from kingcupvane.request.context import (
+    FIRST_ATTEMPT,
+    RequestContext,
+    find_route,
+)
+from kingcupvane.request.dispatch import Dispatcher
+from kingcupvane.request.once import OrderRunner
+from kingcupvane.settings import RequestSettings
+from kingcupvane.version.configuration import Configuration
+
+BAD_REQUEST = 400
+NOT_FOUND = 404
+CONTENT_TOO_LARGE = 413
+UNAVAILABLE = 503
+SERVICE_PATH = re.compile(r"^/([a-z0-9][a-z0-9._-]*)(/.*)?$")
+
+
+@dataclass(kw_only=True, slots=True)
+class _Stream:
+    key_name: str
+    scope: trio.CancelScope
+
+
+class StreamRegistry:
+    """Answers that are being passed on, by the key that asked for them."""
+
+    def __init__(self):
+        """Starts without streams."""
+        self._streams: list[_Stream] = []
+
+    def add(self, key_name: str, scope: trio.CancelScope) -> _Stream:
+        """Adds a running request."""
+        stream = _Stream(key_name=key_name, scope=scope)
+        self._streams.append(stream)
+        return stream
+
+    def remove(self, stream: _Stream) -> None:
+        """Removes a request that has ended."""
+        self._streams.remove(stream)
+
+    def end_withdrawn(self, configuration: Configuration) -> int:
+        """Ends requests whose key is gone; returns how many."""
+        known = configuration.keys_by_name
+        gone = [
+            stream
+            for stream in self._streams
+            if stream.key_name and stream.key_name not in known
+        ]
+        for stream in gone:
+            stream.scope.cancel()
+        return len(gone)
+
+
+class RequestHandler:
+    """Serves requests of callers for services."""
+
+    def __init__(
+        self,
+        *,
+        settings: RequestSettings,
+        clock: Clock,
+        timeline: Timeline,
+        metrics: Metrics,
+        admission: Admission,
+        dispatcher: Dispatcher,
+        orders: OrderRunner,
+        streams: StreamRegistry,
+        configuration: Callable[[], Configuration],
+        usable: Callable[[], Result[None, str]],
+    ):
+        """Makes a handler.
+
+        Args:
+            settings: Bounds of one request.
+            clock: Monotonic clock.
+            timeline: Gets refusals by class.
+            metrics: Counts requests.
+            admission: Knows the accounts' shares.
+            dispatcher: Carries requests to targets.
+            orders: Runs requests that run at most once.
+            streams: Knows the answers that are being passed on.
+            configuration: Returns the revision in force.
+            usable: Returns why the configuration must not be used, if so.
+        """
+        self._settings = settings
+        self._clock = clock
+        self._timeline = timeline
+        self._metrics = metrics
+        self._admission = admission
+        self._dispatcher = dispatcher
+        self._orders = orders
+        self._streams = streams
+        self._configuration = configuration
+        self._usable = usable
+        self._buffered = 0
+        self.refusals_by_reason: dict[str, int] = {}
+
+    async def handle(self, request: asgi.HttpRequest, send: asgi.Send) -> None:
+        """Serves one request."""
+        started_at = self._clock.now()
+        sink = AnswerSink(send=send)
+        outcome = await self._serve(request, sink, started_at)
+        service = request.path.split("/", 2)[1]
+        match outcome:
+            case Ok(answer):
+                label = str(answer.status)
+                if not answer.streamed:
+                    await _send_answer(answer, send)
+            case Err(refusal):
+                label = refusal.reason
+                self._note(refusal)
+                if sink.begun:
+                    raise AnswerCutError(refusal.reason)
+                await problem.to_response(refusal).send(send)
+        self._metrics.requests.inc({"service": service, "outcome": label})
+        self._metrics.request_seconds.observe(
+            {"service": service}, self._clock.now() - started_at
+        )
+
+    def _note(self, refusal: Refusal) -> None:
+        count = self.refusals_by_reason.get(refusal.reason, 0) + 1
+        self.refusals_by_reason[refusal.reason] = count
+        if count & (count - 1) == 0:
+            self._timeline.record(
+                "refusals",
+                reason=refusal.reason,
+                count=count,
+                step=refusal.step.value,
+                peer=refusal.peer,
+                executed=refusal.executed.value,
+            )
+
+    async def _serve(
+        self, request: asgi.HttpRequest, sink: AnswerSink, started_at: float
+    ) -> Result[Answer, Refusal]:
+        usable = self._usable()
+        if isinstance(usable, Err):
+            return Err(_refuse_unusable(usable.err_value))
+        identified = self._identify(request, started_at)
+        if isinstance(identified, Err):
+            return Err(_hedge(request, identified.err_value))
+        context = identified.ok_value
+        if not context.route.open:
+            admitted = self._admission.admit(context, self._configuration())
+            if isinstance(admitted, Err):
+                return admitted
+        scope = trio.CancelScope()
+        stream = self._streams.add(context.key_name, scope)
+        try:
+            with scope:
+                return await self._read_and_run(request, context, sink)
+        finally:
+            self._streams.remove(stream)
+        return Err(_refuse_withdrawn(context))
+
+    def _identify(
+        self, request: asgi.HttpRequest, started_at: float
+    ) -> Result[RequestContext, Refusal]:
+        configuration = self._configuration()
+        match = SERVICE_PATH.match(request.path)
+        service = None
+        if match:
+            service = configuration.services_by_name.get(match[1])
+        if service is None:
+            return Err(_refuse_unknown_service())
+        path = match[2] or "/"
+        route = find_route(service, path)
+        key = authentication.presented_key(
+            request.headers.get("authorization", "")
+        )
+        account = ""
+        if not route.open:
+            known = authentication.authenticate(key, configuration)
+            if isinstance(known, Err):
+                return known
+            account = known.ok_value
+        if authentication.leaks_key(
+            key, path=path, query=request.query, body=b""
+        ):
+            return Err(_refuse_leak())
+        timeout = self._timeout_s(request.headers)
+        if isinstance(timeout, Err):
+            return timeout
+        headers = request.headers
+        return Ok(
+            RequestContext(
+                service=service,
+                route=route,
+                method=request.method,
+                path=path,
+                query=request.query,
+                account=account,
+                key_name=authentication.key_name(key) if account else "",
+                idempotency_key=headers.get("idempotency-key", ""),
+                attempt=headers.get("idempotency-attempt", FIRST_ATTEMPT),
+                deadline=started_at + timeout.ok_value,
+                content_type=headers.get("content-type", ""),
+                accept=headers.get("accept", ""),
+            )
+        )
+
+    def _timeout_s(self, headers) -> Result[float, Refusal]:
+        text = headers.get("request-timeout")
+        if text is None:
+            return Ok(self._settings.timeout_s)
+        try:
+            seconds = float(text)
+        except ValueError:
+            seconds = 0.0
+        if not 0 < seconds < float("inf"):
+            return Err(
+                Refusal(
+                    status=BAD_REQUEST,
+                    reason="timeout-malformed",
+                    detail="Request-Timeout must be a number of seconds.",
+                    step=Step.READ,
+                )
+            )
+        return Ok(min(seconds, self._settings.timeout_max_s))
+
+    async def _read_and_run(
+        self,
+        request: asgi.HttpRequest,
+        context: RequestContext,
+        sink: AnswerSink,
+    ) -> Result[Answer, Refusal]:
+        body = await self._read(request, context)
+        if isinstance(body, Err):
+            return body
+        key = authentication.presented_key(
+            request.headers.get("authorization", "")
+        )
+        if authentication.leaks_key(key, path="", query="", body=body.ok_value):
+            return Err(_refuse_leak())
+        context = _with_body(context, body.ok_value)
+        self._buffered += len(context.body)
+        try:
+            return await self._run(request, context, sink)
+        finally:
+            self._buffered -= len(context.body)
+
+    async def _read(
+        self, request: asgi.HttpRequest, context: RequestContext
+    ) -> Result[bytes, Refusal]:
+        settings = self._settings
+        room = settings.buffered_max_bytes - self._buffered
+        limit = min(settings.body_max_bytes, max(0, room))
+        try:
+            with trio.fail_after(context.deadline - self._clock.now()):
+                return Ok(await request.read_body(limit=limit))
+        except asgi.BodyTooLargeError:
+            if room < settings.body_max_bytes:
+                return Err(
+                    context.refuse(
+                        UNAVAILABLE,
+                        "buffers-full",
+                        "Too many request bodies are being held.",
+                        Step.READ,
+                        retry_after_s=1.0,
+                    )
+                )
+            return Err(
+                context.refuse(
+                    CONTENT_TOO_LARGE,
+                    "body-too-large",
+                    f"At most {settings.body_max_bytes} bytes are taken.",
+                    Step.READ,
+                )
+            )
+        except (asgi.CallerGoneError, trio.TooSlowError):
+            return Err(
+                context.refuse(
+                    BAD_REQUEST,
+                    "body-cut",
+                    "The request did not arrive whole.",
+                    Step.READ,
+                )
+            )
+
+    async def _run(
+        self,
+        request: asgi.HttpRequest,
+        context: RequestContext,
+        sink: AnswerSink,
+    ) -> Result[Answer, Refusal]:
+        if context.route.at_most_once:
+            return await self._orders.run(context, self._configuration)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_cancel_when_closed, request, nursery)
+            result = await self._dispatcher.run(
+                context, self._configuration, sink
+            )
+            nursery.cancel_scope.cancel()
+            return result
+        return Err(
+            context.refuse(
+                BAD_REQUEST,
+                "caller-gone",
+                "The caller closed its connection.",
+                Step.READ,
+            )
+        )
+
+
+def _hedge(request: asgi.HttpRequest, refusal: Refusal) -> Refusal:
+    """Makes no claim about an order that an earlier attempt may have run."""
+    attempt = request.headers.get("idempotency-attempt", FIRST_ATTEMPT)
+    if attempt == FIRST_ATTEMPT:
+        return refusal
+    return replace(refusal, executed=Executed.UNKNOWN)
+
+
+class AnswerCutError(Exception):
+    """Ends a connection on which an answer was begun but cannot be whole."""
+
+
+def _with_body(context: RequestContext, body: bytes) -> RequestContext:
+    print_ = retry.fingerprint(
+        account=context.account,
+        service=context.service.name,
+        method=context.method,
+        path=f"{context.path}?{context.query}",
+        body=body,
+    )
+    return replace(context, body=body, fingerprint=print_)
+
+
+async def _cancel_when_closed(
+    request: asgi.HttpRequest, nursery: trio.Nursery
+) -> None:
+    await request.wait_closed()
+    nursery.cancel_scope.cancel()
+
+
+async def _send_answer(answer: Answer, send: asgi.Send) -> None:
+    headers = [
+        (name, value)
+        for name, value in answer.headers
+        if name != b"content-length"
+    ]
+    headers.append((b"content-length", str(len(answer.body)).encode()))
+    await send(
+        {
+            "type": "http.response.start",
+            "status": answer.status,
+            "headers": headers,
+        }
+    )
+    await send({"type": "http.response.body", "body": answer.body})
+
+
+def _refuse_unknown_service() -> Refusal:
+    return Refusal(
+        status=NOT_FOUND,
+        reason="unknown-service",
+        detail="No service has this name.",
+        step=Step.ROUTE,
+    )
+
+
+def _refuse_leak() -> Refusal:
+    return Refusal(
+        status=BAD_REQUEST,
+        reason="key-in-content",
+        detail="The key may stand only in the Authorization header.",
+        step=Step.AUTHENTICATE,
+    )
+
+
+def _refuse_unusable(why: str) -> Refusal:
+    return Refusal(
+        status=UNAVAILABLE,
+        reason="configuration-unusable",
+        detail=why,
+        step=Step.ROUTE,
+        executed=Executed.UNKNOWN,
+        retry_after_s=1.0,
+    )
+
+
+def _refuse_withdrawn(context: RequestContext) -> Refusal:
+    return Refusal(
+        status=authentication.UNAUTHORIZED,
+        reason="key-withdrawn",
+        detail="The key was withdrawn while the request ran.",
+        step=Step.AUTHENTICATE,
+        executed=Executed.UNKNOWN,
+    )
--- /dev/null
+++ b/kingcupvane/request/lookup.py
@@ -0,0 +1,103 @@
+"""Answers to the question which entries a caller should use."""
+
+import ipaddress
+from array import array
+from bisect import bisect_right
+from collections.abc import Iterable, Sequence
+
+import msgspec
+
+from kingcupvane.request.routing import rank
+from kingcupvane.version.configuration import Configuration
+from kingcupvane.version.items import Entry
+
+RATE_PER_ENTRY = 200.0
+
+
+class LookupAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """Entries to use, best first, and how long to keep the answer.
+
+    Attributes:
+        entries: Addresses for callers.
+        ttl_s: Seconds for which the answer may be kept.
+        revision: Configuration revision that it rests on.
+    """
+
+    entries: list[str]
+    ttl_s: float
+    revision: int
+
+
+def choose_entries(
+    configuration: Configuration,
+    *,
+    account: str,
+    data_centre: str,
+    live: Sequence[str],
+    leaving: Iterable[str],
+    count: int,
+) -> list[Entry]:
+    """Returns the entries for a client account, best first.
+
+    The account's requests are kept on few entries, so that its rate is
+    divided between few; how many grows with its rate. One entry of another
+    data centre comes last, for when this one is cut off.
+
+    Args:
+        configuration: The revision in force.
+        account: Name of the client account; empty on open routes.
+        data_centre: The data centre nearest to the caller.
+        live: Names of the live entries there.
+        leaving: Names of entries that must not be given.
+        count: Least number of entries of the data centre.
+    """
+    known = configuration.entries_by_name
+    limits = configuration.accounts_by_name.get(account)
+    extra = int(limits.rate // RATE_PER_ENTRY) if limits else 0
+    near = [name for name in live if name in known]
+    chosen = rank(near, subject=account)[: count + extra]
+    gone = set(leaving)
+    region = {e.region for e in known.values() if e.data_centre == data_centre}
+    far = [
+        entry.name
+        for entry in known.values()
+        if entry.data_centre != data_centre and entry.name not in gone
+    ]
+    same_region = [name for name in far if known[name].region in region]
+    backup = rank(same_region or far, subject=account)[:1]
+    return [known[name] for name in [*chosen, *backup]]
+
+
+class ClientBlocks:
+    """Blocks of IPv4 addresses and the site that is nearest to each.
+
+    Two sorted arrays hold six bytes a block; a Python dict would hold more
+    than a hundred.
+    """
+
+    def __init__(self, *, starts: Sequence[int], sites: Sequence[int]):
+        """Makes the table.
+
+        Args:
+            starts: First address of each block, ascending.
+            sites: Index of each block's site.
+
+        Raises:
+            ValueError: The arrays differ in length or are not ascending.
+        """
+        if len(starts) != len(sites):
+            raise ValueError("starts and sites differ in length")
+        if any(a >= b for a, b in zip(starts, starts[1:], strict=False)):
+            raise ValueError("starts are not ascending")
+        self._starts = array("I", starts)
+        self._sites = array("H", sites)
+
+    def __len__(self) -> int:
+        """Returns the number of blocks."""
+        return len(self._starts)
+
+    def site_of(self, address: str) -> int | None:
+        """Returns the index of the site for an address, if any."""
+        number = int(ipaddress.IPv4Address(address))
+        place = bisect_right(self._starts, number) - 1
+        return self._sites[place] if place >= 0 else None
--- /dev/null
+++ b/kingcupvane/request/once.py
@@ -0,0 +1,300 @@
+"""Orders: requests that run at most once."""
+
+import hashlib
+import secrets
+from collections.abc import Callable
+from dataclasses import replace
+
+import trio
+from result import Err, Ok, Result
+
+from kingcupvane.clock import Clock
+from kingcupvane.connection.target import Answer, Failure, FailureKind
+from kingcupvane.errors import Executed, Refusal, Step
+from kingcupvane.process.ledger import OrderLedger
+from kingcupvane.process.timeline import Timeline
+from kingcupvane.request.context import RequestContext
+from kingcupvane.request.dispatch import Dispatcher, explain, refuse_crashing
+from kingcupvane.request.order import (
+    DONE,
+    NOT_RUN,
+    Complete,
+    Create,
+    OrderRecord,
+    Outcome,
+    parse_key,
+    refuse_repeat,
+    segment_key,
+)
+from kingcupvane.request.retry import CrashRegistry
+from kingcupvane.settings import OrderSettings
+from kingcupvane.version.configuration import Configuration
+from kingcupvane.version.items import Target
+
+CONFLICT = 409
+UNAVAILABLE = 503
+GATEWAY_TIMEOUT = 504
+TOKEN_BYTES = 8
+DIGEST_BYTES = 8
+STORE_RETRY_AFTER_S = 2.0
+OUTCOME_WAIT_S = 60.0
+OUTCOME_RETRIES = 5
+OUTCOME_RETRY_S = 1.0
+REPLAY_HEADER = (b"idempotency-replayed", b"true")
+
+
+class OrderRunner:
+    """Runs an order when, and only when, it has created its record."""
+
+    def __init__(
+        self,
+        *,
+        ledger: OrderLedger,
+        dispatcher: Dispatcher,
+        crashes: CrashRegistry,
+        clock: Clock,
+        timeline: Timeline,
+        settings: OrderSettings,
+        nursery: trio.Nursery,
+    ):
+        """Makes a runner; outcomes are written by tasks in `nursery`."""
+        self._ledger = ledger
+        self._dispatcher = dispatcher
+        self._crashes = crashes
+        self._clock = clock
+        self._timeline = timeline
+        self._settings = settings
+        self._nursery = nursery
+        self.running = 0
+
+    async def run(
+        self,
+        context: RequestContext,
+        configuration: Callable[[], Configuration],
+    ) -> Result[Answer, Refusal]:
+        """Runs an order, or answers its repeat from the record."""
+        parsed = parse_key(
+            context.idempotency_key,
+            now_wall_s=self._clock.wall(),
+            settings=self._settings,
+        )
+        if isinstance(parsed, Err):
+            return parsed
+        if self._crashes.is_refused(context.fingerprint, self._clock.now()):
+            return Err(refuse_crashing(context))
+        key = parsed.ok_value
+        segment = segment_key(context.account, key, settings=self._settings)
+        record_key = f"{context.account}/{key}"
+        placed = await self._dispatcher.place(
+            context, configuration, frozenset()
+        )
+        if isinstance(placed, Err):
+            return placed
+        target = placed.ok_value
+        record = _new_record(context)
+        try:
+            created = await self._create(context, segment, record_key, record)
+        except trio.Cancelled:
+            self._dispatcher.release(context, target)
+            raise
+        if isinstance(created, Err):
+            self._dispatcher.release(context, target)
+            self._spawn(segment, record_key, replace_state(record, NOT_RUN))
+            return created
+        outcome = created.ok_value
+        if not outcome.own:
+            self._dispatcher.release(context, target)
+            return _answer_repeat(outcome.record, record)
+        if self._clock.now() >= context.deadline:
+            self._dispatcher.release(context, target)
+            self._spawn(segment, record_key, replace_state(record, NOT_RUN))
+            return Err(_refuse_late(context))
+        return await self._dispatch(
+            context, target, segment, record_key, record
+        )
+
+    async def _create(
+        self,
+        context: RequestContext,
+        segment: str,
+        key: str,
+        record: OrderRecord,
+    ) -> Result[Outcome, Refusal]:
+        operation = Create(key=key, record=record)
+        reply = None
+        with trio.move_on_after(context.deadline - self._clock.now()):
+            reply = await self._ledger.submit(segment, operation)
+        if isinstance(reply, Ok):
+            return reply
+        peer = reply.err_value.peer if reply else ""
+        return Err(
+            context.refuse(
+                UNAVAILABLE,
+                "record-unavailable",
+                "The order could not be recorded, so it was not started.",
+                Step.RECORD,
+                peer=peer,
+                retry_after_s=STORE_RETRY_AFTER_S,
+            )
+        )
+
+    async def _dispatch(
+        self,
+        context: RequestContext,
+        target: Target,
+        segment: str,
+        key: str,
+        record: OrderRecord,
+    ) -> Result[Answer, Refusal]:
+        """Runs the exchange in a task that outlives the caller."""
+        inbox_send, inbox = trio.open_memory_channel[Answer | Failure](1)
+        self._nursery.start_soon(
+            self._exchange, context, target, segment, key, record, inbox_send
+        )
+        result = None
+        with trio.move_on_after(context.deadline - self._clock.now()):
+            result = await inbox.receive()
+        if isinstance(result, Answer):
+            return Ok(result)
+        if result is None:
+            result = Failure(kind=FailureKind.TIMEOUT, detail="deadline")
+        return Err(_explain_own(context, target, result))
+
+    async def _exchange(
+        self,
+        context: RequestContext,
+        target: Target,
+        segment: str,
+        key: str,
+        record: OrderRecord,
+        inbox: trio.MemorySendChannel,
+    ) -> None:
+        patient = replace(
+            context, deadline=max(context.deadline, self._clock.now())
+        )
+        patient = replace(patient, deadline=patient.deadline + OUTCOME_WAIT_S)
+        self.running += 1
+        try:
+            result = await self._dispatcher.exchange(patient, target, None)
+            inbox.send_nowait(result)
+            await self._complete(segment, key, record, result)
+        finally:
+            self.running -= 1
+
+    async def _complete(
+        self,
+        segment: str,
+        key: str,
+        record: OrderRecord,
+        result: Answer | Failure,
+    ) -> None:
+        if isinstance(result, Answer):
+            final = _done_record(record, result, self._settings)
+        elif result.kind in (FailureKind.NOT_SENT, FailureKind.SHED):
+            final = replace_state(record, NOT_RUN)
+        else:
+            self._timeline.record("order-unsettled", why=result.kind.value)
+            return
+        await self._write_outcome(segment, key, final)
+
+    def _spawn(self, segment: str, key: str, record: OrderRecord) -> None:
+        self._nursery.start_soon(self._write_outcome, segment, key, record)
+
+    async def _write_outcome(
+        self, segment: str, key: str, record: OrderRecord
+    ) -> None:
+        operation = Complete(key=key, record=record)
+        for _ in range(OUTCOME_RETRIES):
+            reply = await self._ledger.submit(segment, operation)
+            if isinstance(reply, Ok):
+                return
+            await trio.sleep(OUTCOME_RETRY_S)
+        self._timeline.record("order-outcome-not-recorded", state=record.state)
+
+
+def _new_record(context: RequestContext) -> OrderRecord:
+    digest = hashlib.blake2b(
+        f"{context.service.name} {context.method} {context.path}\0".encode()
+        + context.body,
+        digest_size=DIGEST_BYTES,
+    )
+    return OrderRecord(
+        token=secrets.token_hex(TOKEN_BYTES), body_digest=digest.hexdigest()
+    )
+
+
+def replace_state(record: OrderRecord, state: str) -> OrderRecord:
+    """Returns the record in another state."""
+    return OrderRecord(
+        token=record.token, state=state, body_digest=record.body_digest
+    )
+
+
+def _done_record(
+    record: OrderRecord, answer: Answer, settings: OrderSettings
+) -> OrderRecord:
+    text = ""
+    whole = False
+    if len(answer.body) <= settings.answer_max_bytes:
+        try:
+            text = answer.body.decode()
+            whole = True
+        except UnicodeDecodeError:
+            text = ""
+    kind = dict(answer.headers).get(b"content-type", b"")
+    return OrderRecord(
+        token=record.token,
+        state=DONE,
+        status=answer.status,
+        content_type=kind.decode("latin-1"),
+        answer=text,
+        whole=whole,
+        body_digest=record.body_digest,
+    )
+
+
+def _answer_repeat(
+    record: OrderRecord, attempted: OrderRecord
+) -> Result[Answer, Refusal]:
+    if record.body_digest != attempted.body_digest:
+        return Err(
+            Refusal(
+                status=CONFLICT,
+                reason="idempotency-key-reused",
+                detail="The key belongs to an order with another content.",
+                step=Step.RECORD,
+                executed=Executed.UNKNOWN,
+            )
+        )
+    if record.state != DONE or not record.whole:
+        return Err(refuse_repeat(record))
+    body = record.answer.encode()
+    headers = [
+        (b"content-type", record.content_type.encode()),
+        (b"content-length", str(len(body)).encode()),
+        REPLAY_HEADER,
+    ]
+    return Ok(Answer(status=record.status, headers=headers, body=body))
+
+
+def _explain_own(
+    context: RequestContext, target: Target, failure: Failure
+) -> Refusal:
+    """Returns the refusal of the attempt that created the record.
+
+    No other attempt can have run, so a request that was not sent did not run
+    whatever the caller's count of attempts.
+    """
+    refusal = explain(context, target, failure)
+    if failure.kind in (FailureKind.NOT_SENT, FailureKind.SHED):
+        return replace(refusal, executed=Executed.NO)
+    return refusal
+
+
+def _refuse_late(context: RequestContext) -> Refusal:
+    return Refusal(
+        status=GATEWAY_TIMEOUT,
+        reason="deadline-before-dispatch",
+        detail="The deadline passed before the order was started.",
+        step=Step.RECORD,
+    )
--- /dev/null
+++ b/kingcupvane/request/order.py
@@ -0,0 +1,224 @@
+"""At-most-once records: who may dispatch an order, and how it ended.
+
+A segment is one value of the store with the records of some orders. Only the
+entry whose record was created may dispatch, so a second run is impossible
+whatever is lost, killed or repeated. Orders that arrive while a segment is
+being written share its next write (group commit).
+"""
+
+import uuid
+from dataclasses import dataclass, field
+
+import msgspec
+from result import Err, Ok, Result
+
+from kingcupvane.errors import Executed, Refusal, Step
+from kingcupvane.hashing import spread
+from kingcupvane.settings import OrderSettings
+
+UUID_VERSION = 7
+UUID_TIME_SHIFT = 80
+MILLISECONDS = 1000
+BAD_REQUEST = 400
+CONFLICT = 409
+GONE = 410
+RUNNING = "running"
+DONE = "done"
+NOT_RUN = "not-run"
+PREFIX = "orders"
+
+
+class OrderRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """One order.
+
+    Attributes:
+        token: Random, names the attempt that may dispatch.
+        state: `running`, `done` or `not-run`.
+        status: HTTP status of the answer, once done.
+        content_type: Its media type.
+        answer: Its body, when that is small text.
+        whole: Whether `answer` is the whole body.
+        body_digest: Digest of the order, so that a key is not used twice.
+    """
+
+    token: str
+    state: str = RUNNING
+    status: int = 0
+    content_type: str = ""
+    answer: str = ""
+    whole: bool = False
+    body_digest: str = ""
+
+
+class Segment(msgspec.Struct, frozen=True, kw_only=True):
+    """Records by account and idempotency key, joined by a slash."""
+
+    records_by_key: dict[str, OrderRecord] = {}
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Create:
+    """Asks for the right to dispatch.
+
+    Attributes:
+        key: Account and idempotency key.
+        record: The record to create.
+    """
+
+    key: str
+    record: OrderRecord
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Complete:
+    """Stores how an order ended; only its creator may."""
+
+    key: str
+    record: OrderRecord
+
+
+Operation = Create | Complete
+
+
+@dataclass(kw_only=True, slots=True)
+class Outcome:
+    """What became of an operation.
+
+    Attributes:
+        record: The record that holds now.
+        own: Whether it is this operation's.
+    """
+
+    record: OrderRecord
+    own: bool
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Applied:
+    """A segment with some operations applied.
+
+    Attributes:
+        segment: The next value.
+        outcomes: One for each operation, in order.
+        changed: Whether `segment` differs from what was there.
+    """
+
+    segment: Segment
+    outcomes: list[Outcome] = field(default_factory=list)
+    changed: bool = False
+
+
+def apply(segment: Segment, operations: list[Operation]) -> Applied:
+    """Applies operations to a segment; applying twice changes nothing."""
+    records = dict(segment.records_by_key)
+    outcomes = []
+    changed = False
+    for operation in operations:
+        known = records.get(operation.key)
+        if _may_write(known, operation):
+            changed = changed or known != operation.record
+            known = operation.record
+            records[operation.key] = known
+        own = known.token == operation.record.token
+        outcomes.append(Outcome(record=known, own=own))
+    return Applied(
+        segment=Segment(records_by_key=records),
+        outcomes=outcomes,
+        changed=changed,
+    )
+
+
+def _may_write(known: OrderRecord | None, operation: Operation) -> bool:
+    if known is None:
+        return True
+    same = known.token == operation.record.token
+    return isinstance(operation, Complete) and same and known.state == RUNNING
+
+
+def parse_key(
+    text: str, *, now_wall_s: float, settings: OrderSettings
+) -> Result[uuid.UUID, Refusal]:
+    """Checks an idempotency key.
+
+    Args:
+        text: The header's value.
+        now_wall_s: Unix seconds.
+        settings: Retention and assumed skew.
+
+    Returns:
+        The key, a UUID of version 7 that is within retention.
+    """
+    try:
+        key = uuid.UUID(text)
+    except ValueError:
+        return Err(_malformed())
+    if key.version != UUID_VERSION:
+        return Err(_malformed())
+    age_s = now_wall_s - made_at_s(key)
+    if age_s > settings.retention_s:
+        return Err(_out_of_time("older than records are kept"))
+    if age_s < -settings.skew_s:
+        return Err(_out_of_time("from the future"))
+    return Ok(key)
+
+
+def made_at_s(key: uuid.UUID) -> float:
+    """Returns the Unix seconds inside a UUID of version 7."""
+    return (key.int >> UUID_TIME_SHIFT) / MILLISECONDS
+
+
+def _malformed() -> Refusal:
+    return Refusal(
+        status=BAD_REQUEST,
+        reason="idempotency-key-malformed",
+        detail="This route needs an Idempotency-Key, a UUID of version 7.",
+        step=Step.RECORD,
+    )
+
+
+def _out_of_time(why: str) -> Refusal:
+    return Refusal(
+        status=GONE,
+        reason="idempotency-key-out-of-time",
+        detail=f"The Idempotency-Key is {why}; whether it ran is not known.",
+        step=Step.RECORD,
+        executed=Executed.UNKNOWN,
+    )
+
+
+def segment_key(
+    account: str, key: uuid.UUID, *, settings: OrderSettings
+) -> str:
+    """Returns the store key of the segment that holds an order's record."""
+    if settings.buckets == 0:
+        return f"{PREFIX}/{account}/{key}"
+    window = int(made_at_s(key) // settings.window_s)
+    digest = spread(f"{account}/{key}")
+    return f"{PREFIX}/{window}/{digest % settings.buckets}"
+
+
+def refuse_repeat(record: OrderRecord) -> Refusal:
+    """Returns the refusal of a repeat whose order cannot be answered."""
+    if record.state == NOT_RUN:
+        return Refusal(
+            status=CONFLICT,
+            reason="order-not-run",
+            detail="The order with this key was refused and never ran.",
+            step=Step.RECORD,
+        )
+    if record.state == DONE:
+        return Refusal(
+            status=CONFLICT,
+            reason="order-done",
+            detail=f"The order ran with status {record.status}.",
+            step=Step.RECORD,
+            executed=Executed.YES,
+        )
+    return Refusal(
+        status=CONFLICT,
+        reason="order-unsettled",
+        detail="The order was started; its outcome is not recorded.",
+        step=Step.RECORD,
+        executed=Executed.UNKNOWN,
+        retry_after_s=1.0,
+    )
--- /dev/null
+++ b/kingcupvane/request/routing.py
@@ -0,0 +1,247 @@
+"""Choice of the target for a request.
+
+Each slot of a target belongs to one live entry of the target's data centre,
+so that all entries together never have more requests at a target than it has
+slots. Other entries use a slot only while its owner lends it.
+"""
+
+import random
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+
+from kingcupvane.hashing import spread
+from kingcupvane.request.concurrency import Observation, TargetLoad
+from kingcupvane.version.configuration import Configuration
+from kingcupvane.version.items import READY, Target
+
+LOAN_TTL_S = 2.0
+LOAN_MARGIN_S = 0.5
+LENDER_RESERVE = 1
+
+
+def rank(names: Iterable[str], *, subject: str) -> list[str]:
+    """Returns names by rendezvous hashing for a subject, best first."""
+    return sorted(
+        names,
+        key=lambda name: (spread(f"{subject}/{name}"), name),
+        reverse=True,
+    )
+
+
+def allotment(target: Target, entries: Sequence[str], *, name: str) -> int:
+    """Returns how many of a target's slots belong to an entry.
+
+    Args:
+        target: The target.
+        entries: Live entries of the target's data centre.
+        name: The entry in question.
+    """
+    if name not in entries:
+        return 0
+    place = rank(entries, subject=target.name).index(name)
+    whole, rest = divmod(target.slots, len(entries))
+    return whole + (1 if place < rest else 0)
+
+
+class ShareCounter:
+    """Keeps each version's part of the traffic at or below its share.
+
+    A version gets a request only if its part stays within its share when the
+    request is counted, so that no random draw ever exceeds a cap.
+    """
+
+    def __init__(self):
+        """Starts without requests."""
+        self._total = 0
+        self._count_by_version: dict[str, int] = {}
+        self._shares: Mapping[str, float] = {}
+
+    def choose(self, share_by_version: Mapping[str, float]) -> list[str]:
+        """Returns the versions that may serve, the preferred one first."""
+        if share_by_version != self._shares:
+            self._shares = dict(share_by_version)
+            self._total = 0
+            self._count_by_version = {}
+        total = self._total + 1
+        room_by_version = {
+            version: share * total - self._count_by_version.get(version, 0)
+            for version, share in share_by_version.items()
+            if share > 0
+        }
+        allowed = [
+            version
+            for version, room in room_by_version.items()
+            if room >= 1 or share_by_version[version] >= 0.5
+        ]
+        allowed.sort(key=lambda version: room_by_version[version])
+        return allowed[::-1]
+
+    def count(self, version: str) -> None:
+        """Counts a request that a version gets."""
+        self._total += 1
+        counts = self._count_by_version
+        counts[version] = counts.get(version, 0) + 1
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Holding:
+    slots: int
+    until: float
+
+
+class SlotLender:
+    """Slots of this entry's allotments that other entries use."""
+
+    def __init__(self):
+        """Starts without loans."""
+        self._holdings: dict[tuple[str, str], _Holding] = {}
+
+    def lent(self, target: str, now: float) -> int:
+        """Returns how many slots of a target are lent."""
+        return sum(
+            holding.slots
+            for (name, _), holding in self._holdings.items()
+            if name == target and now < holding.until
+        )
+
+    def lend(
+        self,
+        *,
+        target: str,
+        borrower: str,
+        wanted: int,
+        spare: int,
+        now: float,
+        ttl_s: float,
+    ) -> int:
+        """Sets what a borrower holds; returns the slots that it may use.
+
+        Args:
+            target: Name of the target.
+            borrower: Name of the borrowing entry.
+            wanted: Slots that it wants, those in use included.
+            spare: Slots that are free now beside all loans.
+            now: Monotonic seconds.
+            ttl_s: How long the slots stay reserved, in seconds.
+        """
+        key = (target, borrower)
+        held = self._holdings.get(key)
+        current = held.slots if held and now < held.until else 0
+        granted = min(wanted, current + max(0, spare - LENDER_RESERVE))
+        if granted:
+            self._holdings[key] = _Holding(slots=granted, until=now + ttl_s)
+        else:
+            self._holdings.pop(key, None)
+        return granted
+
+
+class TargetBoard:
+    """All targets as one entry sees them, and the choice among them."""
+
+    def __init__(self, *, name: str, data_centre: str, seed: int):
+        """Makes an empty board.
+
+        Args:
+            name: Name of this entry.
+            data_centre: Its data centre.
+            seed: Seed of the random choice of two.
+        """
+        self._name = name
+        self._data_centre = data_centre
+        self._random = random.Random(seed)
+        self._loads_by_name: dict[str, TargetLoad] = {}
+        self._counters_by_service: dict[str, ShareCounter] = {}
+        self._borrowed: dict[str, _Holding] = {}
+        self.lender = SlotLender()
+
+    def load(self, target: Target) -> TargetLoad:
+        """Returns what is known of a target."""
+        load = self._loads_by_name.get(target.name)
+        if load is None:
+            load = TargetLoad(slots=0)
+            self._loads_by_name[target.name] = load
+        return load
+
+    def update(
+        self, configuration: Configuration, entries: Sequence[str], now: float
+    ) -> None:
+        """Takes in the targets and the live entries of this data centre."""
+        present = configuration.targets_by_name
+        for name in list(self._loads_by_name):
+            if name not in present and not self._loads_by_name[name].in_flight:
+                del self._loads_by_name[name]
+        for target in present.values():
+            self.load(target).allotment = self._usable(target, entries, now)
+
+    def _usable(
+        self, target: Target, entries: Sequence[str], now: float
+    ) -> int:
+        if target.data_centre != self._data_centre:
+            own = 0
+        else:
+            own = allotment(target, entries, name=self._name)
+        held = self._borrowed.get(target.name)
+        borrowed = held.slots if held and now < held.until else 0
+        return max(0, own + borrowed - self.lender.lent(target.name, now))
+
+    def borrow(self, target: str, slots: int, until: float) -> None:
+        """Takes in a loan of slots that ends at `until`."""
+        self._borrowed[target] = _Holding(slots=slots, until=until)
+
+    def spare(self, target: Target) -> int:
+        """Returns slots of a target that this entry could lend."""
+        load = self.load(target)
+        return max(0, load.allotment - load.in_flight)
+
+    def choose(
+        self,
+        service: str,
+        configuration: Configuration,
+        share_by_version: Mapping[str, float],
+        *,
+        exclude: frozenset[str],
+        now: float,
+    ) -> Target | None:
+        """Returns a target with a free slot, or None.
+
+        Args:
+            service: Name of the service.
+            configuration: The revision in force.
+            share_by_version: Each version's part of the traffic.
+            exclude: Targets that were tried for this request.
+            now: Monotonic seconds.
+        """
+        counter = self._counters_by_service.setdefault(service, ShareCounter())
+        targets = configuration.targets_by_service.get(service, ())
+        for version in counter.choose(share_by_version):
+            free = [
+                target
+                for target in targets
+                if target.version == version
+                and target.state == READY
+                and target.name not in exclude
+                and self.load(target).is_free(now)
+            ]
+            if free:
+                counter.count(version)
+                return self._better_of_two(free)
+        return None
+
+    def _better_of_two(self, free: list[Target]) -> Target:
+        near = [t for t in free if t.data_centre == self._data_centre]
+        pool = near or free
+        picked = self._random.sample(pool, min(2, len(pool)))
+        return min(picked, key=lambda target: self.load(target).cost())
+
+    def finish(
+        self,
+        target: Target,
+        observation: Observation,
+        *,
+        latency_s: float,
+        now: float,
+    ) -> bool:
+        """Counts the end of a request; true when the target was ejected."""
+        return self.load(target).finish(
+            observation, latency_s=latency_s, now=now
+        )
--- /dev/null
+++ b/kingcupvane/standin/run.py
@@ -0,0 +1,29 @@
+"""Runs a stand-in until SIGTERM or SIGINT."""
+
+import signal
+
+import trio
+
+from kingcupvane.settings import StoreStandinSettings, TargetStandinSettings
+from kingcupvane.standin.store import StoreServer
+from kingcupvane.standin.target import TargetServer
+
+
+async def run_store(settings: StoreStandinSettings) -> None:
+    """Runs the stand-in for the platform's store."""
+    await _run_until_signal(StoreServer(settings=settings))
+
+
+async def run_target(settings: TargetStandinSettings) -> None:
+    """Runs the stand-in for a target."""
+    await _run_until_signal(TargetServer(settings=settings))
+
+
+async def _run_until_signal(server: StoreServer | TargetServer) -> None:
+    stop = trio.Event()
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(server.run, stop)
+            async for _ in signals:
+                break
+            stop.set()
--- /dev/null
+++ b/kingcupvane/standin/store.py
@@ -0,0 +1,295 @@
+"""Stand-in for the platform's store and VM list, as a process of its own.
+
+It counts its calls, bounds their rates and can be told to fail.
+"""
+
+import random
+from dataclasses import dataclass
+from urllib.parse import parse_qs, unquote
+
+import msgspec
+import trio
+
+from kingcupvane import asgi
+from kingcupvane.clock import Clock, SystemClock
+from kingcupvane.process.store import (
+    CONFLICT,
+    NOT_FOUND,
+    TOO_MANY,
+    Item,
+    LeaseGrant,
+    Listing,
+    VmListing,
+    VmRecord,
+)
+from kingcupvane.settings import StoreStandinSettings
+
+BODY_MAX_BYTES = 1024 * 1024
+SWEEP_PERIOD_S = 0.1
+UNAVAILABLE = 503
+
+
+class Fault(msgspec.Struct, frozen=True, kw_only=True):
+    """How the store misbehaves.
+
+    Attributes:
+        down: Every call fails without effect.
+        delay_s: Added to each call, in seconds.
+        lose_share: Share of writes that take effect but lose their answer.
+        seed: Seed of the random choice.
+    """
+
+    down: bool = False
+    delay_s: float = 0.0
+    lose_share: float = 0.0
+    seed: int = 1
+
+
+class CallCounts(msgspec.Struct, kw_only=True):
+    """Calls since the start."""
+
+    reads: int = 0
+    writes: int = 0
+    refused: int = 0
+
+
+@dataclass(kw_only=True, slots=True)
+class _Lease:
+    ttl_s: float
+    ends_at: float
+
+
+class RateMeter:
+    """Bounds calls to a rate, with one second's worth saved up."""
+
+    def __init__(self, *, rate: float, now: float):
+        """Starts with a full second's worth of calls."""
+        self._rate = rate
+        self._saved = rate
+        self._at = now
+
+    def take(self, now: float) -> bool:
+        """Counts one call; false when the rate is used up."""
+        gained = (now - self._at) * self._rate
+        self._saved = min(self._rate, self._saved + gained)
+        self._at = now
+        if self._saved < 1:
+            return False
+        self._saved -= 1
+        return True
+
+
+class StoreState:
+    """Values, leases and revisions, without any I/O."""
+
+    def __init__(self, *, clock: Clock):
+        """Starts empty."""
+        self._clock = clock
+        self.revision = 0
+        self.items_by_key: dict[str, Item] = {}
+        self._lease_by_key: dict[str, int] = {}
+        self._leases_by_id: dict[int, _Lease] = {}
+        self._next_lease = 1
+
+    def get(self, key: str) -> Item:
+        """Returns the item, with revision 0 when it is absent."""
+        return self.items_by_key.get(key, Item(key=key))
+
+    def list(self, prefix: str, *, after: int = 0) -> list[Item]:
+        """Returns items under `prefix` newer than `after`, by key."""
+        return [
+            item
+            for key, item in sorted(self.items_by_key.items())
+            if key.startswith(prefix) and item.revision > after
+        ]
+
+    def swap(
+        self, key: str, value: str, *, expected: int, lease: int
+    ) -> Item | None:
+        """Writes if the key's revision is `expected`, else returns None."""
+        if self.get(key).revision != expected:
+            return None
+        if lease and lease not in self._leases_by_id:
+            return None
+        self.revision += 1
+        item = Item(key=key, value=value, revision=self.revision)
+        self.items_by_key[key] = item
+        if lease:
+            self._lease_by_key[key] = lease
+        return item
+
+    def grant(self, ttl_s: float) -> int:
+        """Returns the id of a new lease."""
+        lease = self._next_lease
+        self._next_lease += 1
+        self._leases_by_id[lease] = _Lease(
+            ttl_s=ttl_s, ends_at=self._clock.now() + ttl_s
+        )
+        return lease
+
+    def renew(self, lease: int) -> bool:
+        """Prolongs a lease; false when it has ended."""
+        found = self._leases_by_id.get(lease)
+        if found is None:
+            return False
+        found.ends_at = self._clock.now() + found.ttl_s
+        return True
+
+    def revoke(self, lease: int) -> bool:
+        """Ends a lease; false when it had ended."""
+        if self._leases_by_id.pop(lease, None) is None:
+            return False
+        bound = [k for k, v in self._lease_by_key.items() if v == lease]
+        for key in bound:
+            self.revision += 1
+            del self._lease_by_key[key]
+            del self.items_by_key[key]
+        return True
+
+    def expire(self) -> bool:
+        """Ends leases that are over; true when there were any."""
+        now = self._clock.now()
+        over = [k for k, v in self._leases_by_id.items() if v.ends_at <= now]
+        for lease in over:
+            self.revoke(lease)
+        return bool(over)
+
+
+class StoreServer:
+    """Serves a `StoreState` over HTTP."""
+
+    def __init__(self, *, settings: StoreStandinSettings):
+        """Makes a server with an empty store."""
+        self._settings = settings
+        self._clock = SystemClock()
+        now = self._clock.now()
+        self._state = StoreState(clock=self._clock)
+        self._reads = RateMeter(rate=settings.reads_per_s, now=now)
+        self._writes = RateMeter(rate=settings.writes_per_s, now=now)
+        self._counts = CallCounts()
+        self._fault = Fault()
+        self._random = random.Random(self._fault.seed)
+        self._changed = trio.Event()
+        self._vms_by_name: dict[str, VmRecord] = {}
+
+    async def run(self, stop: trio.Event) -> None:
+        """Serves until `stop` is set."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._sweep)
+            await asgi.serve(
+                self.handle, address=self._settings.address, stop=stop
+            )
+            nursery.cancel_scope.cancel()
+
+    async def _sweep(self) -> None:
+        while True:
+            await trio.sleep(SWEEP_PERIOD_S)
+            if self._state.expire():
+                self._notify()
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def handle(self, request: asgi.HttpRequest, send: asgi.Send) -> None:
+        """Answers one call."""
+        body = await request.read_body(limit=BODY_MAX_BYTES)
+        if request.path.startswith("/control/"):
+            await self._control(request.path, body).send(send)
+            return
+        if self._fault.delay_s:
+            await trio.sleep(self._fault.delay_s)
+        if self._fault.down:
+            await asgi.HttpResponse(status=UNAVAILABLE).send(send)
+            return
+        write = request.method != "GET"
+        if not self._take(write=write):
+            await asgi.HttpResponse(status=TOO_MANY).send(send)
+            return
+        response = await self._answer(request, body)
+        if write and self._random.random() < self._fault.lose_share:
+            await trio.sleep_forever()
+        await response.send(send)
+
+    def _take(self, *, write: bool) -> bool:
+        meter = self._writes if write else self._reads
+        if not meter.take(self._clock.now()):
+            self._counts.refused += 1
+            return False
+        if write:
+            self._counts.writes += 1
+        else:
+            self._counts.reads += 1
+        return True
+
+    def _control(self, path: str, body: bytes) -> asgi.HttpResponse:
+        if path == "/control/fault":
+            self._fault = msgspec.json.decode(body, type=Fault)
+            self._random = random.Random(self._fault.seed)
+        elif path == "/control/vms":
+            for vm in msgspec.json.decode(body, type=VmListing).vms:
+                self._vms_by_name[vm.name] = vm
+        elif path == "/control/counts":
+            return asgi.json_response(self._counts)
+        return asgi.json_response(self._fault)
+
+    async def _answer(
+        self, request: asgi.HttpRequest, body: bytes
+    ) -> asgi.HttpResponse:
+        query = {k: v[0] for k, v in parse_qs(request.query).items()}
+        path = request.path
+        if path.startswith("/v1/kv/"):
+            key = unquote(path.removeprefix("/v1/kv/"))
+            return self._answer_key(request.method, key, query, body)
+        if path.startswith("/v1/leases"):
+            return self._answer_lease(request.method, path, query)
+        if path == "/v1/list":
+            return self._listing(query.get("prefix", ""), after=0)
+        if path == "/v1/watch":
+            return await self._watch(query)
+        if path == "/v1/vms":
+            vms = list(self._vms_by_name.values())
+            return asgi.json_response(VmListing(vms=vms))
+        return asgi.HttpResponse(status=NOT_FOUND)
+
+    def _answer_key(
+        self, method: str, key: str, query: dict[str, str], body: bytes
+    ) -> asgi.HttpResponse:
+        if method == "GET":
+            return asgi.json_response(self._state.get(key))
+        item = self._state.swap(
+            key,
+            body.decode(),
+            expected=int(query["expected"]),
+            lease=int(query.get("lease", "0")),
+        )
+        if item is None:
+            return asgi.json_response(self._state.get(key), status=CONFLICT)
+        self._notify()
+        return asgi.json_response(item)
+
+    def _answer_lease(
+        self, method: str, path: str, query: dict[str, str]
+    ) -> asgi.HttpResponse:
+        if method == "POST":
+            lease = self._state.grant(float(query["ttl_s"]))
+            return asgi.json_response(LeaseGrant(lease=lease))
+        lease = int(path.removeprefix("/v1/leases/"))
+        change = self._state.renew if method == "PUT" else self._state.revoke
+        found = change(lease)
+        if method == "DELETE":
+            self._notify()
+        return asgi.HttpResponse(status=200 if found else NOT_FOUND)
+
+    def _listing(self, prefix: str, *, after: int) -> asgi.HttpResponse:
+        items = self._state.list(prefix, after=after)
+        listing = Listing(items=items, revision=self._state.revision)
+        return asgi.json_response(listing)
+
+    async def _watch(self, query: dict[str, str]) -> asgi.HttpResponse:
+        prefix = query["prefix"]
+        after = int(query["after"])
+        with trio.move_on_after(float(query["wait_s"])):
+            while not self._state.list(prefix, after=after):
+                await self._changed.wait()
+        return self._listing(prefix, after=after)
--- /dev/null
+++ b/kingcupvane/standin/target.py
@@ -0,0 +1,243 @@
+"""Stand-in for one target: slots, cold start, shedding, drains and faults.
+
+It counts what it ran by idempotency key, so that a second run is seen.
+"""
+
+import hashlib
+import os
+import random
+
+import msgspec
+import trio
+
+from kingcupvane import asgi
+from kingcupvane.clock import SystemClock
+from kingcupvane.settings import TargetStandinSettings
+
+BODY_MAX_BYTES = 64 * 1024 * 1024
+SHED = 503
+FAULT = 500
+CHUNK_BYTES = 64 * 1024
+CRASH_MARKER = b"crash-the-target"
+REPORT_HEADER = "load-report"
+CRASH_EXIT = 70
+
+
+class TargetFault(msgspec.Struct, frozen=True, kw_only=True):
+    """How the target misbehaves.
+
+    Attributes:
+        error_share: Share of requests answered with status 500.
+        slow_factor: Multiplies the service time.
+        truncate: Ends each answer before its stated length.
+        route: Faults touch only paths that start with this.
+        draining: Refuses new work.
+        reported_load: Load it reports whatever it does; -1 reports the truth.
+        over_load: Faults show only above this many requests at a time.
+        seed: Seed of the random choice.
+    """
+
+    error_share: float = 0.0
+    slow_factor: float = 1.0
+    truncate: bool = False
+    route: str = "/"
+    draining: bool = False
+    reported_load: float = -1.0
+    over_load: int = 0
+    seed: int = 1
+
+
+class RunReport(msgspec.Struct, kw_only=True):
+    """What the target has done.
+
+    Attributes:
+        served: Requests answered.
+        shed: Requests refused for load.
+        cancelled: Requests whose caller went away.
+        peak: Most requests at a time, waiting ones included.
+        leaked: Requests that carried an authorization header.
+        runs_by_key: Runs by idempotency key.
+        served_by_account: Requests by client account.
+        arrivals_by_account: Arrival times by account, in seconds.
+    """
+
+    served: int = 0
+    shed: int = 0
+    cancelled: int = 0
+    peak: int = 0
+    leaked: int = 0
+    runs_by_key: dict[str, int] = {}
+    served_by_account: dict[str, int] = {}
+    arrivals_by_account: dict[str, list[float]] = {}
+
+
+class Echo(msgspec.Struct, frozen=True, kw_only=True):
+    """The answer: enough of the request to see that it is the caller's own."""
+
+    target: str
+    version: str
+    account: str
+    method: str
+    path: str
+    body_sha256: str
+    body_bytes: int
+    key: str
+
+
+class TargetServer:
+    """Serves requests the way a user's own servers would."""
+
+    def __init__(self, *, settings: TargetStandinSettings):
+        """Makes a target that is cold from now on."""
+        self._settings = settings
+        self._clock = SystemClock()
+        self._started_at = self._clock.now()
+        self._slots = trio.Semaphore(settings.slots)
+        self._present = 0
+        self._fault = TargetFault()
+        self._random = random.Random(self._fault.seed)
+        self._report = RunReport()
+
+    async def run(self, stop: trio.Event) -> None:
+        """Serves until `stop` is set."""
+        await asgi.serve(self.handle, address=self._settings.address, stop=stop)
+
+    async def handle(self, request: asgi.HttpRequest, send: asgi.Send) -> None:
+        """Answers one request."""
+        try:
+            body = await request.read_body(limit=BODY_MAX_BYTES)
+        except asgi.CallerGoneError:
+            self._report.cancelled += 1
+            return
+        if request.path == "/control/fault":
+            self._fault = msgspec.json.decode(body, type=TargetFault)
+            self._random = random.Random(self._fault.seed)
+            await asgi.json_response(self._fault).send(send)
+        elif request.path == "/control/report":
+            await asgi.json_response(self._report).send(send)
+        else:
+            await self._serve(request, body, send)
+
+    async def _serve(
+        self, request: asgi.HttpRequest, body: bytes, send: asgi.Send
+    ) -> None:
+        capacity = self._settings.slots + self._settings.backlog
+        if self._present >= capacity or self._fault.draining:
+            self._report.shed += 1
+            headers = {"retry-after": "1", "not-run": "shed"}
+            await asgi.HttpResponse(status=SHED, headers=headers).send(send)
+            return
+        self._present += 1
+        self._report.peak = max(self._report.peak, self._present)
+        try:
+            await self._serve_or_cancel(request, body, send)
+        finally:
+            self._present -= 1
+
+    async def _serve_or_cancel(
+        self, request: asgi.HttpRequest, body: bytes, send: asgi.Send
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                self._watch_caller, request, nursery.cancel_scope
+            )
+            async with self._slots:
+                await self._execute(request, body, send)
+            nursery.cancel_scope.cancel()
+
+    async def _watch_caller(
+        self, request: asgi.HttpRequest, scope: trio.CancelScope
+    ) -> None:
+        await request.wait_closed()
+        self._report.cancelled += 1
+        scope.cancel()
+
+    async def _execute(
+        self, request: asgi.HttpRequest, body: bytes, send: asgi.Send
+    ) -> None:
+        if CRASH_MARKER in body:
+            os._exit(CRASH_EXIT)
+        self._count(request)
+        faulty = self._is_faulty(request.path)
+        await trio.sleep(self._service_s(faulty=faulty))
+        if faulty and self._random.random() < self._fault.error_share:
+            await asgi.HttpResponse(status=FAULT).send(send)
+            return
+        if request.path.endswith("/stream"):
+            await self._stream(send)
+            return
+        echo = self._echo(request, body)
+        await self._send(echo, send, truncate=faulty and self._fault.truncate)
+        self._report.served += 1
+
+    def _is_faulty(self, path: str) -> bool:
+        loaded = self._present > self._fault.over_load
+        return loaded and path.startswith(self._fault.route)
+
+    def _service_s(self, *, faulty: bool) -> float:
+        seconds = self._settings.service_s
+        age_s = self._clock.now() - self._started_at
+        if age_s < self._settings.cold_s:
+            seconds *= self._settings.cold_factor
+        if faulty:
+            seconds *= self._fault.slow_factor
+        return seconds
+
+    def _count(self, request: asgi.HttpRequest) -> None:
+        report = self._report
+        if "authorization" in request.headers:
+            report.leaked += 1
+        key = request.headers.get("idempotency-key", "")
+        if key:
+            report.runs_by_key[key] = report.runs_by_key.get(key, 0) + 1
+        account = request.headers.get("client-account", "")
+        served = report.served_by_account
+        served[account] = served.get(account, 0) + 1
+        arrivals = report.arrivals_by_account.setdefault(account, [])
+        arrivals.append(self._clock.now())
+
+    def _echo(self, request: asgi.HttpRequest, body: bytes) -> Echo:
+        return Echo(
+            target=self._settings.name,
+            version=self._settings.version,
+            account=request.headers.get("client-account", ""),
+            method=request.method,
+            path=request.path,
+            body_sha256=hashlib.sha256(body).hexdigest(),
+            body_bytes=len(body),
+            key=request.headers.get("idempotency-key", ""),
+        )
+
+    def _load(self) -> float:
+        if self._fault.reported_load >= 0:
+            return self._fault.reported_load
+        return self._present / self._settings.slots
+
+    async def _send(
+        self, echo: Echo, send: asgi.Send, *, truncate: bool
+    ) -> None:
+        body = msgspec.json.encode(echo)
+        length = len(body) + (100 if truncate else 0)
+        headers = [
+            (b"content-type", asgi.JSON_TYPE.encode()),
+            (b"content-length", str(length).encode()),
+            (REPORT_HEADER.encode(), f"{self._load():.3f}".encode()),
+        ]
+        await send(
+            {"type": "http.response.start", "status": 200, "headers": headers}
+        )
+        await send({"type": "http.response.body", "body": body})
+
+    async def _stream(self, send: asgi.Send) -> None:
+        await send(
+            {"type": "http.response.start", "status": 200, "headers": []}
+        )
+        while True:
+            await send(
+                {
+                    "type": "http.response.body",
+                    "body": b"x" * 1024,
+                    "more_body": True,
+                }
+            )
+            await trio.sleep(self._settings.service_s)
--- /dev/null
+++ b/kingcupvane/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, one module for each module under test."""
--- /dev/null
+++ b/kingcupvane/version/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one configuration or software version."""
--- /dev/null
+++ b/kingcupvane/version/configuration.py
@@ -0,0 +1,236 @@
+"""The configuration: what is in force, and how a release note changes it."""
+
+import functools
+import hashlib
+import itertools
+from collections.abc import Iterable, Iterator, Mapping
+
+from pydantic import Field, ValidationError, model_validator
+from result import Err, Ok, Result
+
+from kingcupvane.settings import BorderModel, Name, describe
+from kingcupvane.version.items import (
+    Account,
+    Entry,
+    Key,
+    Move,
+    Service,
+    Target,
+    Version,
+)
+
+CHANGE_IDS_KEPT = 256
+DIGEST_BYTES = 16
+STORE_KEY = "configuration"
+KINDS = (
+    "entries",
+    "services",
+    "targets",
+    "accounts",
+    "keys",
+    "versions",
+    "moves",
+)
+
+
+class Items(BorderModel):
+    """Items of each kind, as a release note or a configuration lists them."""
+
+    entries: tuple[Entry, ...] = ()
+    services: tuple[Service, ...] = ()
+    targets: tuple[Target, ...] = ()
+    accounts: tuple[Account, ...] = ()
+    keys: tuple[Key, ...] = ()
+    versions: tuple[Version, ...] = ()
+    moves: tuple[Move, ...] = ()
+
+    @model_validator(mode="after")
+    def _check_unique(self) -> "Items":
+        for kind in KINDS:
+            names = [item.name for item in getattr(self, kind)]
+            twice = sorted({name for name in names if names.count(name) > 1})
+            if twice:
+                raise ValueError(f"{kind}: duplicate name {twice[0]}")
+        return self
+
+
+class Withdrawals(BorderModel):
+    """Names of the items of each kind that a release note withdraws."""
+
+    entries: tuple[Name, ...] = ()
+    services: tuple[Name, ...] = ()
+    targets: tuple[Name, ...] = ()
+    accounts: tuple[Name, ...] = ()
+    keys: tuple[Name, ...] = ()
+    versions: tuple[Name, ...] = ()
+    moves: tuple[Name, ...] = ()
+
+
+class ReleaseNote(BorderModel):
+    """A set of edits that an operator applies as one change."""
+
+    change_id: Name = Field(description="Unique name of the change.")
+    add: Items = Items()
+    change: Items = Items()
+    withdraw: Withdrawals = Withdrawals()
+
+
+class Configuration(BorderModel):
+    """One revision of what is in force.
+
+    Attributes:
+        revision: Grows by one with each change.
+        items: All items.
+        change_ids: The latest changes, oldest first.
+        withdrawn_keys: Names of withdrawn keys, which are never used again.
+    """
+
+    revision: int = 0
+    items: Items = Items()
+    change_ids: tuple[str, ...] = ()
+    withdrawn_keys: tuple[str, ...] = ()
+
+    @functools.cached_property
+    def digest(self) -> str:
+        """Digest of the whole content."""
+        text = self.model_dump_json().encode()
+        return hashlib.blake2b(text, digest_size=DIGEST_BYTES).hexdigest()
+
+    @functools.cached_property
+    def entries_by_name(self) -> Mapping[str, Entry]:
+        """Entries by name."""
+        return _index(self.items.entries)
+
+    @functools.cached_property
+    def services_by_name(self) -> Mapping[str, Service]:
+        """Services by name."""
+        return _index(self.items.services)
+
+    @functools.cached_property
+    def targets_by_name(self) -> Mapping[str, Target]:
+        """Targets by name."""
+        return _index(self.items.targets)
+
+    @functools.cached_property
+    def accounts_by_name(self) -> Mapping[str, Account]:
+        """Client accounts by name."""
+        return _index(self.items.accounts)
+
+    @functools.cached_property
+    def keys_by_name(self) -> Mapping[str, Key]:
+        """Keys by name."""
+        return _index(self.items.keys)
+
+    @functools.cached_property
+    def targets_by_service(self) -> Mapping[str, tuple[Target, ...]]:
+        """Targets by the name of their service."""
+        by_service: dict[str, list[Target]] = {}
+        for target in self.items.targets:
+            by_service.setdefault(target.service, []).append(target)
+        return {name: tuple(group) for name, group in by_service.items()}
+
+    @functools.cached_property
+    def entries_by_data_centre(self) -> Mapping[str, tuple[Entry, ...]]:
+        """Entries by the name of their data centre."""
+        by_data_centre: dict[str, list[Entry]] = {}
+        for entry in self.items.entries:
+            by_data_centre.setdefault(entry.data_centre, []).append(entry)
+        return {name: tuple(group) for name, group in by_data_centre.items()}
+
+
+def _index(items: Iterable) -> dict:
+    return {item.name: item for item in items}
+
+
+def merge(
+    current: Configuration, note: ReleaseNote
+) -> Result[Configuration, tuple[str, ...]]:
+    """Applies a release note to a configuration.
+
+    Args:
+        current: The configuration in force.
+        note: The edits.
+
+    Returns:
+        The next revision, or one line for each edit that cannot be made.
+    """
+    if note.change_id in current.change_ids:
+        return Err((f"change_id: {note.change_id} was applied already",))
+    faults = tuple(_edit_faults(current, note))
+    if faults:
+        return Err(faults)
+    lists = {kind: _merged(current, note, kind) for kind in KINDS}
+    try:
+        items = Items.model_validate(lists)
+    except ValidationError as error:
+        return Err((describe(error),))
+    dangling = tuple(_dangling(items))
+    if dangling:
+        return Err(dangling)
+    ids = (*current.change_ids, note.change_id)[-CHANGE_IDS_KEPT:]
+    return Ok(
+        Configuration(
+            revision=current.revision + 1,
+            items=items,
+            change_ids=ids,
+            withdrawn_keys=(*current.withdrawn_keys, *note.withdraw.keys),
+        )
+    )
+
+
+def _merged(
+    current: Configuration, note: ReleaseNote, kind: str
+) -> tuple[BorderModel, ...]:
+    by_name = _index(getattr(current.items, kind))
+    by_name.update(_index(getattr(note.add, kind)))
+    by_name.update(_index(getattr(note.change, kind)))
+    for name in getattr(note.withdraw, kind):
+        del by_name[name]
+    return tuple(by_name[name] for name in sorted(by_name))
+
+
+def _edit_faults(current: Configuration, note: ReleaseNote) -> Iterator[str]:
+    for kind in KINDS:
+        present = _index(getattr(current.items, kind))
+        added = _index(getattr(note.add, kind))
+        changed = _index(getattr(note.change, kind))
+        withdrawn = getattr(note.withdraw, kind)
+        for name in added:
+            if name in present:
+                yield f"add.{kind}: {name} exists, expected a new name"
+        for name in itertools.chain(changed, withdrawn):
+            if name not in present:
+                yield f"{kind}: {name} does not exist"
+        for name in withdrawn:
+            if name in added or name in changed:
+                yield f"withdraw.{kind}: {name} is also added or changed"
+    for key in note.add.keys:
+        if key.name in current.withdrawn_keys:
+            yield f"add.keys: {key.name} was withdrawn, expected a new name"
+
+
+def _dangling(items: Items) -> Iterator[str]:
+    services = {item.name for item in items.services}
+    accounts = {item.name for item in items.accounts}
+    versions = {(item.service, item.name) for item in items.versions}
+    for key in items.keys:
+        if key.account not in accounts:
+            yield f"keys.{key.name}.account: no account {key.account}"
+    for version in items.versions:
+        if version.service not in services:
+            yield f"versions.{version.name}.service: no {version.service}"
+    for target in items.targets:
+        if (target.service, target.version) not in versions:
+            yield (
+                f"targets.{target.name}: no version {target.version}"
+                f" of {target.service}"
+            )
+    for move in items.moves:
+        for name in (move.old, move.new):
+            if (move.service, name) not in versions:
+                yield f"moves.{move.name}: no version {name} of {move.service}"
+
+
+def newer(current: Configuration, offered: Configuration) -> bool:
+    """Returns whether a daemon at `current` must take `offered`."""
+    return offered.revision > current.revision
--- /dev/null
+++ b/kingcupvane/version/share.py
@@ -0,0 +1,381 @@
+"""Division of an account's rate and burst over the entries.
+
+One record in the store holds, for each entry, the accounts whose floor it has
+claimed and the loans that it has on top. All changes of the record are
+compare-and-swaps, and each keeps, for every account, the sum of floors and
+loans within the account's rate and burst. A floor never expires. A loan ends
+when its holder has not renewed it for `loan_ttl_s`: others measure that by
+their own monotonic clocks from when they first saw the row, so that no two
+clocks are compared. A holder stops using what it gives up before it writes,
+and starts using what it gains after it has written.
+"""
+
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass
+
+import msgspec
+
+from kingcupvane.settings import ShareSettings
+from kingcupvane.version.items import Account
+
+STORE_KEY = "shares"
+FLOOR_SLOTS = 16
+FLOOR_PART = 0.5
+DEMAND_HALF_LIFE_S = 2.0
+CHANGE_MIN = 0.03
+RENEWALS_PER_LOAN = 3
+DEMAND_MIN = 0.01
+
+
+class Loan(msgspec.Struct, frozen=True, array_like=True):
+    """Rate in requests per second, and burst in requests."""
+
+    rate: float = 0.0
+    burst: float = 0.0
+
+
+class Row(msgspec.Struct, frozen=True, kw_only=True):
+    """What one entry holds.
+
+    Attributes:
+        holder: Name of the entry.
+        incarnation: Start time of its process, in Unix milliseconds.
+        serial: Grows with each renewal.
+        claims: Accounts whose floor the entry may use.
+        demand_by_account: Requests per second that it would serve.
+        loans_by_account: Loans on top of the floors.
+    """
+
+    holder: str
+    incarnation: int = 0
+    serial: int = 0
+    claims: list[str] = []
+    demand_by_account: dict[str, float] = {}
+    loans_by_account: dict[str, Loan] = {}
+
+
+class ShareRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """The rows of all entries, by the entry's name."""
+
+    rows_by_holder: dict[str, Row] = {}
+
+
+def floor_of(account: Account) -> Loan:
+    """Returns the floor of one entry.
+
+    A floor whose burst is below one request could never be used; then the
+    whole of the account's rate is lent.
+    """
+    burst = account.burst * FLOOR_PART / FLOOR_SLOTS
+    if burst < 1.0:
+        return Loan()
+    return Loan(account.rate * FLOOR_PART / FLOOR_SLOTS, burst)
+
+
+def water_fill(
+    pool: float, demand_by_name: Mapping[str, float]
+) -> dict[str, float]:
+    """Divides a pool by demand, smallest first; the rest goes by demand."""
+    granted: dict[str, float] = {}
+    left = pool
+    remaining = sorted(demand_by_name.items(), key=lambda pair: pair[1])
+    for index, (name, demand) in enumerate(remaining):
+        granted[name] = min(demand, left / (len(remaining) - index))
+        left -= granted[name]
+    total = sum(granted.values())
+    if left > 0 and total > 0:
+        factor = pool / total
+        granted = {name: part * factor for name, part in granted.items()}
+    return granted
+
+
+class DemandMeter:
+    """Smoothed arrivals of one account at one entry."""
+
+    def __init__(self, *, now: float):
+        """Starts without demand at `now`, in monotonic seconds."""
+        self._rate = 0.0
+        self._count = 0
+        self._at = now
+
+    def count(self) -> None:
+        """Counts an arrival."""
+        self._count += 1
+
+    def sample(self, now: float) -> float:
+        """Returns arrivals per second, smoothed over some seconds."""
+        elapsed_s = now - self._at
+        if elapsed_s <= 0:
+            return self._rate
+        keep = 0.5 ** (elapsed_s / DEMAND_HALF_LIFE_S)
+        fresh = self._count / elapsed_s
+        self._rate = keep * self._rate + (1 - keep) * fresh
+        self._count = 0
+        self._at = now
+        return self._rate
+
+
+@dataclass(kw_only=True, slots=True)
+class _Sighting:
+    serial: int
+    incarnation: int
+    seen_at: float
+
+
+class ShareHolder:
+    """One entry's part of the division; does no I/O.
+
+    A round is: read the record, `plan` the next one, write it by
+    compare-and-swap, and `confirm` it when the write is known to have taken
+    effect.
+    """
+
+    def __init__(self, *, name: str, incarnation: int, settings: ShareSettings):
+        """Starts without any share."""
+        self._name = name
+        self._incarnation = incarnation
+        self._settings = settings
+        self._demand_by_account: dict[str, DemandMeter] = {}
+        self._sightings_by_holder: dict[str, _Sighting] = {}
+        self._claims: frozenset[str] = frozenset()
+        self._usable_by_account: dict[str, Loan] = {}
+        self._renewed_at = float("-inf")
+        self._released = False
+
+    def count_arrival(self, account: str, now: float) -> None:
+        """Counts a request of an account, admitted or not."""
+        meter = self._demand_by_account.get(account)
+        if meter is None:
+            meter = DemandMeter(now=now)
+            self._demand_by_account[account] = meter
+        meter.count()
+
+    def share(self, account: Account, now: float) -> Loan:
+        """Returns the rate and burst that this entry may use at `now`."""
+        floor = Loan()
+        if account.name in self._claims:
+            floor = floor_of(account)
+        loan = Loan()
+        if now < self.loans_end_at():
+            loan = self._usable_by_account.get(account.name, loan)
+        return Loan(floor.rate + loan.rate, floor.burst + loan.burst)
+
+    def loans_end_at(self) -> float:
+        """Returns when the loans end unless renewed, in monotonic seconds."""
+        settings = self._settings
+        return self._renewed_at + settings.loan_ttl_s - settings.margin_s
+
+    def release(self) -> None:
+        """Gives up loans and floors from now on, for a graceful shutdown."""
+        self._released = True
+        self._usable_by_account = {}
+        self._claims = frozenset()
+
+    def observe(self, record: ShareRecord, now: float) -> None:
+        """Notes when each row was first seen as it is."""
+        for name, row in record.rows_by_holder.items():
+            seen = self._sightings_by_holder.get(name)
+            key = (row.serial, row.incarnation)
+            if seen is None or (seen.serial, seen.incarnation) != key:
+                self._sightings_by_holder[name] = _Sighting(
+                    serial=row.serial,
+                    incarnation=row.incarnation,
+                    seen_at=now,
+                )
+
+    def plan(
+        self,
+        record: ShareRecord,
+        accounts: Iterable[Account],
+        entries: Iterable[str],
+        now: float,
+    ) -> ShareRecord | None:
+        """Returns the record that this entry wants, or None for no change.
+
+        What the plan gives up is no longer used from this call on.
+
+        Args:
+            record: The record as last read.
+            accounts: All client accounts.
+            entries: Names of all entries that are configured.
+            now: Monotonic seconds.
+        """
+        self.observe(record, now)
+        accounts = tuple(accounts)
+        rows = dict(self._kept_rows(record, set(entries), now))
+        known = rows.pop(self._name, Row(holder=self._name))
+        own = self._own_row(known, rows, accounts, now)
+        self._shrink_to(own)
+        unchanged = len(rows) + 1 == len(record.rows_by_holder)
+        if unchanged and not self._worth_writing(known, own, accounts, now):
+            return None
+        rows[self._name] = own
+        return ShareRecord(rows_by_holder=rows)
+
+    def confirm(self, record: ShareRecord, *, started_at: float) -> None:
+        """Takes a record into use that was written.
+
+        Args:
+            record: What `plan` returned.
+            started_at: Monotonic seconds before the write began.
+        """
+        if self._released:
+            return
+        own = record.rows_by_holder[self._name]
+        self._claims = frozenset(own.claims)
+        self._usable_by_account = dict(own.loans_by_account)
+        self._renewed_at = max(self._renewed_at, started_at)
+
+    def _kept_rows(
+        self, record: ShareRecord, entries: set[str], now: float
+    ) -> Iterator[tuple[str, Row]]:
+        for name, row in record.rows_by_holder.items():
+            if name == self._name:
+                yield name, row
+                continue
+            seen_at = self._sightings_by_holder[name].seen_at
+            lapsed = now - seen_at >= self._settings.loan_ttl_s
+            if not lapsed:
+                yield name, row
+            elif name in entries:
+                yield (
+                    name,
+                    Row(
+                        holder=name,
+                        incarnation=row.incarnation,
+                        serial=row.serial,
+                        claims=row.claims,
+                    ),
+                )
+
+    def _own_row(
+        self,
+        known: Row,
+        rows: Mapping[str, Row],
+        accounts: Iterable[Account],
+        now: float,
+    ) -> Row:
+        demand: dict[str, float] = {}
+        loans: dict[str, Loan] = {}
+        claims: list[str] = []
+        for account in accounts:
+            floor = floor_of(account)
+            meter = self._demand_by_account.get(account.name)
+            wanted = meter.sample(now) if meter else 0.0
+            if wanted >= DEMAND_MIN:
+                demand[account.name] = round(min(wanted, account.rate), 3)
+            if self._released:
+                continue
+            pool = _pool(account, rows.values(), floor)
+            if account.name in known.claims or _fits(
+                pool, floor, rows.values(), known, account.name
+            ):
+                claims.append(account.name)
+                pool = Loan(pool.rate - floor.rate, pool.burst - floor.burst)
+            loan = self._own_loan(
+                account, pool, rows.values(), known, demand, floor
+            )
+            if loan.rate > 0:
+                loans[account.name] = loan
+        return Row(
+            holder=self._name,
+            incarnation=self._incarnation,
+            serial=known.serial + 1,
+            claims=claims,
+            demand_by_account=demand,
+            loans_by_account=loans,
+        )
+
+    def _own_loan(
+        self,
+        account: Account,
+        pool: Loan,
+        others: Iterable[Row],
+        known: Row,
+        demand: Mapping[str, float],
+        floor: Loan,
+    ) -> Loan:
+        name = account.name
+        others = tuple(others)
+        needs = {
+            row.holder: max(
+                0.0, row.demand_by_account.get(name, 0.0) - floor.rate
+            )
+            for row in others
+        }
+        needs[self._name] = max(0.0, demand.get(name, 0.0) - floor.rate)
+        lent = _lent(others, name)
+        free = Loan(
+            max(0.0, pool.rate - lent.rate), max(0.0, pool.burst - lent.burst)
+        )
+        if sum(needs.values()) <= 0 or pool.rate <= 0:
+            had = known.loans_by_account.get(name, Loan())
+            return Loan(min(had.rate, free.rate), min(had.burst, free.burst))
+        part = water_fill(pool.rate, needs)[self._name] / pool.rate
+        return Loan(
+            min(pool.rate * part, free.rate),
+            min(pool.burst * part, free.burst),
+        )
+
+    def _shrink_to(self, own: Row) -> None:
+        self._claims = self._claims & frozenset(own.claims)
+        usable: dict[str, Loan] = {}
+        for name, loan in self._usable_by_account.items():
+            planned = own.loans_by_account.get(name, Loan())
+            usable[name] = Loan(
+                min(loan.rate, planned.rate), min(loan.burst, planned.burst)
+            )
+        self._usable_by_account = usable
+
+    def _worth_writing(
+        self, known: Row, own: Row, accounts: Iterable[Account], now: float
+    ) -> bool:
+        renewal_s = self._settings.loan_ttl_s / RENEWALS_PER_LOAN
+        if now - self._renewed_at >= renewal_s or known.claims != own.claims:
+            return True
+        if known.incarnation != own.incarnation:
+            return True
+        return any(
+            _differs(known, own, account.name, account.rate)
+            for account in accounts
+        )
+
+
+def _differs(known: Row, own: Row, name: str, rate: float) -> bool:
+    before = known.loans_by_account.get(name, Loan()).rate
+    after = own.loans_by_account.get(name, Loan()).rate
+    demand_before = known.demand_by_account.get(name, 0.0)
+    demand_after = own.demand_by_account.get(name, 0.0)
+    least = rate * CHANGE_MIN
+    moved = abs(after - before) > least
+    return moved or abs(demand_after - demand_before) > 3 * least
+
+
+def _lent(rows: Iterable[Row], name: str) -> Loan:
+    loans = [row.loans_by_account.get(name, Loan()) for row in rows]
+    return Loan(
+        sum(loan.rate for loan in loans), sum(loan.burst for loan in loans)
+    )
+
+
+def _pool(account: Account, rows: Iterable[Row], floor: Loan) -> Loan:
+    claimed = sum(1 for row in rows if account.name in row.claims)
+    return Loan(
+        account.rate - claimed * floor.rate,
+        account.burst - claimed * floor.burst,
+    )
+
+
+def _fits(
+    pool: Loan, floor: Loan, rows: Iterable[Row], known: Row, name: str
+) -> bool:
+    """Returns whether one more floor fits beside all loans."""
+    rows = tuple(rows)
+    claimed = sum(1 for row in rows if name in row.claims)
+    lent = _lent(rows, name)
+    return (
+        floor.burst > 0
+        and claimed < FLOOR_SLOTS
+        and pool.rate - lent.rate >= floor.rate
+        and pool.burst - lent.burst >= floor.burst
+    )
