--- /dev/null
+++ b/kingcupvane/connection/caller.py
@@ -0,0 +1,131 @@
+"""What callers ask: which entries to use, and requests for services."""
+
+from collections.abc import Callable
+from urllib.parse import parse_qs
+
+import trio
+from result import Err, Ok, Result
+
+from kingcupvane import asgi, problem
+from kingcupvane.clock import Clock
+from kingcupvane.errors import Refusal, Step
+from kingcupvane.process.membership import Membership
+from kingcupvane.process.metrics import Metrics
+from kingcupvane.request import authentication
+from kingcupvane.request.handler import RequestHandler
+from kingcupvane.request.lookup import LookupAnswer, choose_entries
+from kingcupvane.settings import EntrySettings
+from kingcupvane.version.configuration import Configuration
+
+LOOKUP_PATH = "/v1/entries"
+NOT_FOUND = 404
+CACHE_MAX = 4096
+
+
+class CallerServer:
+    """Answers callers of one entry."""
+
+    def __init__(
+        self,
+        *,
+        settings: EntrySettings,
+        clock: Clock,
+        configuration: Callable[[], Configuration],
+        membership: Membership,
+        metrics: Metrics,
+        handler: RequestHandler,
+    ):
+        """Makes a server; `run` binds its socket.
+
+        Args:
+            settings: Address, certificate and look-up settings.
+            clock: Monotonic clock.
+            configuration: Returns the revision in force.
+            membership: Knows the live entries.
+            metrics: Counts look-ups.
+            handler: Serves requests for services.
+        """
+        self._settings = settings
+        self._clock = clock
+        self._configuration = configuration
+        self._membership = membership
+        self._metrics = metrics
+        self._handler = handler
+        self._answers_by_account: dict[str, asgi.HttpResponse] = {}
+        self._answers_rest_on: tuple = ()
+
+    async def run(self, stop: trio.Event) -> None:
+        """Serves until `stop` is set and all requests have ended."""
+        tls = self._settings.tls
+        await asgi.serve(
+            self.handle,
+            address=self._settings.caller_address,
+            stop=stop,
+            certificate=tls.certificate,
+            private_key=tls.private_key,
+        )
+
+    async def handle(self, request: asgi.HttpRequest, send: asgi.Send) -> None:
+        """Serves one request."""
+        if request.path == LOOKUP_PATH:
+            await self._answer_lookup(request).send(send)
+        else:
+            await self._handler.handle(request, send)
+
+    def _answer_lookup(self, request: asgi.HttpRequest) -> asgi.HttpResponse:
+        account = self._account(request)
+        if isinstance(account, Err):
+            return problem.to_response(account.err_value)
+        self._metrics.lookups.inc({})
+        live = self._membership.live(self._clock.now())
+        leaving = self._membership.leaving_names()
+        rests_on = (self._configuration().revision, live, leaving)
+        if rests_on != self._answers_rest_on:
+            self._answers_rest_on = rests_on
+            self._answers_by_account.clear()
+        name = account.ok_value
+        answer = self._answers_by_account.get(name)
+        if answer is None:
+            answer = self._make_answer(name, live, leaving)
+            if len(self._answers_by_account) < CACHE_MAX:
+                self._answers_by_account[name] = answer
+        return answer
+
+    def _account(self, request: asgi.HttpRequest) -> Result[str, Refusal]:
+        configuration = self._configuration()
+        service = parse_qs(request.query).get("service", [""])[0]
+        known = configuration.services_by_name.get(service)
+        if known is None:
+            return Err(
+                Refusal(
+                    status=NOT_FOUND,
+                    reason="unknown-service",
+                    detail="No service has this name.",
+                    step=Step.LOOK_UP,
+                )
+            )
+        key = authentication.presented_key(
+            request.headers.get("authorization", "")
+        )
+        if not key and any(route.open for route in known.routes):
+            return Ok("")
+        return authentication.authenticate(key, configuration)
+
+    def _make_answer(
+        self, account: str, live: list[str], leaving: list[str]
+    ) -> asgi.HttpResponse:
+        configuration = self._configuration()
+        entries = choose_entries(
+            configuration,
+            account=account,
+            data_centre=self._settings.data_centre,
+            live=live,
+            leaving=leaving,
+            count=self._settings.lookup.count,
+        )
+        answer = LookupAnswer(
+            entries=[entry.caller_address for entry in entries],
+            ttl_s=self._settings.lookup.ttl_s,
+            revision=configuration.revision,
+        )
+        return asgi.json_response(answer)
--- a/kingcupvane/connection/messages.py
+++ b/kingcupvane/connection/messages.py
@@ -8,6 +8,9 @@
 
 import msgspec
 
+from kingcupvane.version.judge import Tally
+from kingcupvane.version.move import MoveState
+
 MAC_BYTES = 16
 
 
@@ -43,7 +46,9 @@
         revision: Configuration revision that it has in force.
         digest: Digest of that configuration.
         beats: Daemons of its data centre.
-        crashes: Fingerprints of requests that are refused for crashes.
+        crashes: Requests in whose presence targets died.
+        moves: What is decided about moves.
+        leaving_vms: Names that the platform's VM list calls leaving.
         confirmed_age_s: Seconds since the sender's revision was known to be
             the store's.
     """
@@ -54,6 +59,8 @@
     digest: str
     beats: list[MemberBeat] = []
     crashes: list[str] = []
+    moves: list[MoveState] = []
+    leaving_vms: list[str] = []
     confirmed_age_s: float = float("inf")
 
 
@@ -90,6 +97,28 @@
     ttl_s: float
 
 
+class EvidenceRequest(
+    msgspec.Struct, frozen=True, tag="evidence-request", kw_only=True
+):
+    """Asks an entry for its counters of some services."""
+
+    services: list[str]
+
+
+class EvidenceReply(
+    msgspec.Struct, frozen=True, tag="evidence-reply", kw_only=True
+):
+    """Counters of one process since its start.
+
+    Attributes:
+        incarnation: Start time of the process, in Unix milliseconds.
+        tallies: One for each service, version and route.
+    """
+
+    incarnation: int
+    tallies: list[Tally]
+
+
 class StatusRequest(
     msgspec.Struct, frozen=True, tag="status-request", kw_only=True
 ):
@@ -157,6 +186,8 @@
     | ConfigurationReply
     | LoanRequest
     | LoanReply
+    | EvidenceRequest
+    | EvidenceReply
     | StatusRequest
     | StatusReply
     | TimelineRequest
--- /dev/null
+++ b/kingcupvane/process/answers.py
@@ -0,0 +1,192 @@
+"""Answers to other daemons and to the operator's commands."""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from kingcupvane.clock import Clock
+from kingcupvane.connection.messages import (
+    ConfigurationReply,
+    ConfigurationRequest,
+    EvidenceReply,
+    EvidenceRequest,
+    Heartbeat,
+    LoanReply,
+    LoanRequest,
+    Message,
+    StatusReply,
+    StatusRequest,
+    TimelineReply,
+    TimelineRequest,
+)
+from kingcupvane.process.evidence import EvidenceCounter
+from kingcupvane.process.gossip import Gossip
+from kingcupvane.process.membership import Membership
+from kingcupvane.process.mover import MoveRegister
+from kingcupvane.process.replica import Replica
+from kingcupvane.process.role import Role
+from kingcupvane.process.timeline import Timeline
+from kingcupvane.request.handler import RefusalCounter
+from kingcupvane.request.routing import LOAN_TTL_S, TargetBoard
+from kingcupvane.settings import EntrySettings
+from kingcupvane.version.share import ShareHolder
+
+
+@dataclass(frozen=True, kw_only=True)
+class PeerAnswers:
+    """Answers each kind of message from what the daemon's parts know.
+
+    Attributes:
+        settings: This daemon's settings.
+        incarnation: Start time of this process, in Unix milliseconds.
+        clock: Monotonic clock.
+        gossip: Takes in heartbeats.
+        replica: Holds the configuration.
+        membership: Knows who is alive.
+        board: Lends slots.
+        holder: Knows this entry's shares of rates.
+        evidence: Counts what versions do.
+        moves: Knows what is decided about moves.
+        refusals: Counts refusals by class.
+        roles_by_name: The leased roles that this daemon is a candidate for.
+        timeline: Holds the events.
+    """
+
+    settings: EntrySettings
+    incarnation: int
+    clock: Clock
+    gossip: Gossip
+    replica: Replica
+    membership: Membership
+    board: TargetBoard
+    holder: ShareHolder
+    evidence: EvidenceCounter
+    moves: MoveRegister
+    refusals: RefusalCounter
+    roles_by_name: dict[str, Role]
+    timeline: Timeline
+
+    async def answer(self, message: Message) -> Message | None:
+        """Returns the answer to a message; None for one that has none."""
+        found = ANSWERS_BY_KIND.get(type(message))
+        return found(self, message) if found else None
+
+    def conclusions(self) -> Iterator[str]:
+        """Yields what this daemon does and has concluded, in sentences."""
+        now = self.clock.now()
+        live = ", ".join(self.membership.live(now))
+        yield f"Live entries of this data centre: {live}."
+        yield (
+            "The configuration was confirmed by the store"
+            f" {self.replica.age_s():.1f} s ago."
+        )
+        for name, role in self.roles_by_name.items():
+            if role.holds():
+                yield f"Holds the role {name}, fence {role.fence}."
+        if now >= self.holder.loans_end_at():
+            yield "Rates: floors only, no loans from the store."
+        yield from self._target_conclusions(now)
+        for state in self.moves.states_by_name.values():
+            yield (
+                f"Move {state.name}: {state.phase.name.lower()}, new version"
+                f" at {state.share:.0%}, because {state.reason}."
+            )
+        for reason, count in sorted(self.refusals.count_by_reason.items()):
+            yield f"Refused for {reason}: {count}."
+
+    def _target_conclusions(self, now: float) -> Iterator[str]:
+        for target in self.replica.current.items.targets:
+            load = self.board.load(target)
+            if load.is_ejected(now):
+                yield f"Target {target.name} is ejected for failures."
+            borrowed = self.board.borrowed(target.name, now)
+            if borrowed:
+                yield f"Target {target.name}: {borrowed} slots borrowed."
+
+
+Answerer = Callable[[PeerAnswers, Message], Message]
+ANSWERS_BY_KIND: dict[type, Answerer] = {}
+
+
+def answers(kind: type) -> Callable[[Answerer], Answerer]:
+    """Registers a function as the one that answers a kind of message."""
+
+    def register(function: Answerer) -> Answerer:
+        ANSWERS_BY_KIND[kind] = function
+        return function
+
+    return register
+
+
+@answers(Heartbeat)
+def answer_heartbeat(parts: PeerAnswers, message: Heartbeat) -> Heartbeat:
+    """Takes in a peer's news and returns this daemon's."""
+    parts.gossip.hear(message)
+    return parts.gossip.heartbeat()
+
+
+@answers(ConfigurationRequest)
+def answer_configuration(
+    parts: PeerAnswers, message: ConfigurationRequest
+) -> ConfigurationReply:
+    """Returns the configuration if it is newer than the peer's."""
+    current = parts.replica.current
+    if current.revision <= message.revision:
+        return ConfigurationReply(document="")
+    return ConfigurationReply(document=current.model_dump_json())
+
+
+@answers(LoanRequest)
+def answer_loan(parts: PeerAnswers, message: LoanRequest) -> LoanReply:
+    """Lends slots that this entry does not need itself."""
+    target = parts.replica.current.targets_by_name.get(message.target)
+    if target is None or parts.membership.leaving:
+        return LoanReply(slots=0, ttl_s=0.0)
+    now = parts.clock.now()
+    slots = parts.board.lender.lend(
+        target=message.target,
+        borrower=message.sender,
+        wanted=message.slots,
+        spare=parts.board.spare(target),
+        now=now,
+        ttl_s=parts.settings.request.timeout_s,
+    )
+    live = parts.membership.live(now)
+    parts.board.refresh(target, live, now)
+    return LoanReply(slots=slots, ttl_s=LOAN_TTL_S)
+
+
+@answers(EvidenceRequest)
+def answer_evidence(
+    parts: PeerAnswers, message: EvidenceRequest
+) -> EvidenceReply:
+    """Returns this process's counters of some services."""
+    return EvidenceReply(
+        incarnation=parts.incarnation,
+        tallies=parts.evidence.of_services(message.services),
+    )
+
+
+@answers(StatusRequest)
+def answer_status(parts: PeerAnswers, message: StatusRequest) -> StatusReply:
+    """Returns what this daemon does and has concluded."""
+    del message
+    current = parts.replica.current
+    return StatusReply(
+        name=parts.settings.name,
+        data_centre=parts.settings.data_centre,
+        revision=current.revision,
+        digest=current.digest,
+        leaving=parts.membership.leaving,
+        conclusions=list(parts.conclusions()),
+    )
+
+
+@answers(TimelineRequest)
+def answer_timeline(
+    parts: PeerAnswers, message: TimelineRequest
+) -> TimelineReply:
+    """Returns this process's events."""
+    return TimelineReply(
+        events=parts.timeline.since(message.after),
+        dropped=parts.timeline.dropped,
+    )
--- /dev/null
+++ b/kingcupvane/process/borrower.py
@@ -0,0 +1,176 @@
+"""Borrows slots of targets from the entries that they belong to.
+
+An entry whose own slots are used up asks others: first those of its own data
+centre, then of its region, then of other regions. A lender gives only what it
+does not need itself, so no decision to send work elsewhere can overload a
+data centre or a region.
+"""
+
+import math
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import trio
+from result import Ok
+
+from kingcupvane.clock import Clock
+from kingcupvane.connection.messages import LoanReply, LoanRequest
+from kingcupvane.connection.peer import PeerClient
+from kingcupvane.process.replica import Replica
+from kingcupvane.process.timeline import Timeline
+from kingcupvane.request.dispatch import Dispatcher
+from kingcupvane.request.routing import LOAN_MARGIN_S, TargetBoard
+from kingcupvane.settings import EntrySettings
+from kingcupvane.version.items import READY, Entry, Target
+
+PERIOD_S = 0.25
+ASKED_AT_ONCE = 6
+BUSY_PART = 0.75
+SLOTS_PER_REQUEST = 2
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Offer:
+    """A target's slots at the entry that may lend them."""
+
+    target: Target
+    lender: Entry
+
+
+class Borrower:
+    """Keeps this entry's loans of slots as large as it needs."""
+
+    def __init__(
+        self,
+        *,
+        settings: EntrySettings,
+        board: TargetBoard,
+        dispatcher: Dispatcher,
+        client: PeerClient,
+        replica: Replica,
+        clock: Clock,
+        timeline: Timeline,
+    ):
+        """Makes the task's state.
+
+        Args:
+            settings: Place of this entry.
+            board: Knows targets, slots and loans.
+            dispatcher: Knows how many requests wait.
+            client: Asks the lenders.
+            replica: Knows targets and entries.
+            clock: Monotonic clock.
+            timeline: Gets the first loan from another place.
+        """
+        self._settings = settings
+        self._board = board
+        self._dispatcher = dispatcher
+        self._client = client
+        self._replica = replica
+        self._clock = clock
+        self._timeline = timeline
+        self._spilling: set[str] = set()
+
+    async def run(self) -> None:
+        """Borrows and gives back until cancelled."""
+        while True:
+            await trio.sleep(PERIOD_S)
+            await self.round()
+
+    async def round(self) -> None:
+        """Asks for what each service needs."""
+        async with trio.open_nursery() as nursery:
+            for service, targets in self._services():
+                for offer, slots in self._requests(service, targets):
+                    nursery.start_soon(self._ask, offer, slots)
+
+    def _services(self) -> Iterator[tuple[str, tuple[Target, ...]]]:
+        yield from self._replica.current.targets_by_service.items()
+
+    def _requests(
+        self, service: str, targets: tuple[Target, ...]
+    ) -> Iterator[tuple[Offer, int]]:
+        now = self._clock.now()
+        wanted = self.shortage(service, targets)
+        asked = 0
+        for offer in self.offers(targets):
+            held = self._board.holding(
+                offer.target.name, offer.lender.name, now
+            )
+            load = self._board.load(offer.target)
+            used = min(held, load.in_flight)
+            if wanted > 0 and asked < ASKED_AT_ONCE:
+                extra = min(SLOTS_PER_REQUEST, wanted)
+                wanted -= extra
+                asked += 1
+                yield offer, used + extra
+            elif held:
+                yield offer, used
+
+    def shortage(self, service: str, targets: tuple[Target, ...]) -> int:
+        """Returns how many more slots this entry could use now."""
+        waiting = self._dispatcher.waiting(service)
+        now = self._clock.now()
+        loads = [self._board.load(target) for target in targets]
+        free = sum(1 for load in loads if load.is_free(now))
+        in_flight = sum(load.in_flight for load in loads)
+        allotted = sum(load.allotment for load in loads)
+        if waiting:
+            return waiting
+        if not free or in_flight > BUSY_PART * allotted:
+            return math.ceil(max(1, in_flight) / 4)
+        return 0
+
+    def offers(self, targets: tuple[Target, ...]) -> list[Offer]:
+        """Returns who could lend slots, nearest first."""
+        entries = self._replica.current.entries_by_data_centre
+        found = [
+            Offer(target=target, lender=entry)
+            for target in targets
+            if target.state == READY
+            for entry in entries.get(target.data_centre, ())
+            if entry.name != self._settings.name
+        ]
+        return sorted(found, key=self._distance)
+
+    def _distance(self, offer: Offer) -> tuple[int, int, str, str]:
+        target = offer.target
+        if target.data_centre == self._settings.data_centre:
+            place = 0
+        elif target.region == self._settings.region:
+            place = 1
+        else:
+            place = 2
+        load = self._board.load(target)
+        return (place, load.in_flight, target.name, offer.lender.name)
+
+    async def _ask(self, offer: Offer, slots: int) -> None:
+        name = self._settings.name
+        started_at = self._clock.now()
+        request = LoanRequest(
+            sender=name, target=offer.target.name, slots=slots
+        )
+        reply = await self._client.ask(offer.lender.peer_address, request)
+        if not isinstance(reply, Ok):
+            return
+        message = reply.ok_value
+        if not isinstance(message, LoanReply):
+            return
+        until = started_at + message.ttl_s - LOAN_MARGIN_S
+        self._board.borrow(
+            offer.target.name, offer.lender.name, message.slots, until
+        )
+        self._note(offer, message.slots)
+
+    def _note(self, offer: Offer, slots: int) -> None:
+        data_centre = offer.target.data_centre
+        if data_centre == self._settings.data_centre:
+            return
+        key = f"{offer.target.service} {data_centre}"
+        if slots and key not in self._spilling:
+            self._spilling.add(key)
+            self._timeline.record(
+                "spill-granted",
+                service=offer.target.service,
+                data_centre=data_centre,
+            )
--- a/kingcupvane/process/gossip.py
+++ b/kingcupvane/process/gossip.py
@@ -20,6 +20,7 @@
 )
 from kingcupvane.connection.peer import PeerClient
 from kingcupvane.process.membership import Membership
+from kingcupvane.process.mover import MoveRegister
 from kingcupvane.process.replica import Replica
 from kingcupvane.process.timeline import Timeline
 from kingcupvane.request.retry import CrashRegistry
@@ -41,6 +42,7 @@
         replica: Replica,
         membership: Membership,
         crashes: CrashRegistry,
+        moves: MoveRegister,
         timeline: Timeline,
         clock: Clock,
         seed: int,
@@ -53,6 +55,7 @@
             replica: Gets newer configurations.
             membership: Gets the beats.
             crashes: Gets requests that crashed targets elsewhere.
+            moves: Gets decisions about moves.
             timeline: Gets changes of who is alive.
             clock: Monotonic clock.
             seed: Seed of the choice of peers.
@@ -62,6 +65,7 @@
         self._replica = replica
         self._membership = membership
         self._crashes = crashes
+        self._moves = moves
         self._timeline = timeline
         self._clock = clock
         self._random = random.Random(seed)
@@ -122,6 +126,8 @@
             digest=current.digest,
             beats=self._membership.beats(),
             crashes=self._crashes.shared(),
+            moves=list(self._moves.states_by_name.values()),
+            leaving_vms=self._membership.listed_leaving(),
             confirmed_age_s=self._replica.age_s(),
         )
 
@@ -135,6 +141,8 @@
                 fingerprint=print_,
                 source=heartbeat.sender,
             )
+        for state in heartbeat.moves:
+            self._moves.hear(state)
         current = self._replica.current
         if heartbeat.revision > current.revision:
             with contextlib.suppress(trio.WouldBlock):
@@ -156,6 +164,7 @@
         own = self._settings.data_centre
         if sender is None or sender.data_centre == own:
             self._membership.hear(heartbeat.beats, now)
+            self._membership.hear_listed(heartbeat.leaving_vms, now)
             return
         self._membership.hear_far(heartbeat.beats)
 
--- a/kingcupvane/process/membership.py
+++ b/kingcupvane/process/membership.py
@@ -11,6 +11,7 @@
 from kingcupvane.settings import HeartbeatSettings
 
 LEAVING_STATE = "leaving"
+LISTED_MEMORY_S = 5.0
 
 
 @dataclass(kw_only=True, slots=True)
@@ -40,6 +41,7 @@
         self._own = MemberBeat(name, incarnation, 0)
         self._members_by_name: dict[str, _Member] = {}
         self._listed_leaving: frozenset[str] = frozenset()
+        self._heard_leaving_by_name: dict[str, float] = {}
         self._far_leaving_by_name: dict[str, MemberBeat] = {}
 
     @property
@@ -88,9 +90,22 @@
                 known.pop(beat.name, None)
 
     def list_leaving(self, names: Iterable[str]) -> None:
-        """Takes in the names that the VM list calls leaving."""
+        """Takes in the names that the VM list itself calls leaving."""
         self._listed_leaving = frozenset(names)
 
+    def hear_listed(self, names: Iterable[str], now: float) -> None:
+        """Takes in what a peer has of the VM list."""
+        for name in names:
+            self._heard_leaving_by_name[name] = now
+        oldest = now - LISTED_MEMORY_S
+        for name, heard_at in list(self._heard_leaving_by_name.items()):
+            if heard_at < oldest:
+                del self._heard_leaving_by_name[name]
+
+    def listed_leaving(self) -> list[str]:
+        """Returns the names that this daemon read off the VM list."""
+        return sorted(self._listed_leaving)
+
     def keep(self, names: Iterable[str]) -> None:
         """Drops daemons other than these of the data centre."""
         kept = set(names)
@@ -109,13 +124,27 @@
 
     def is_leaving(self, name: str) -> bool:
         """Returns whether any source says that a daemon is leaving."""
-        if name in self._listed_leaving or name in self._far_leaving_by_name:
+        listed = (
+            name in self._listed_leaving or name in self._heard_leaving_by_name
+        )
+        if listed or name in self._far_leaving_by_name:
             return True
         if name == self._own.name:
             return self._own.leaving
         member = self._members_by_name.get(name)
         return member is not None and member.beat.leaving
 
+    def leaving_names(self) -> list[str]:
+        """Returns the names of all daemons known to be leaving, sorted."""
+        names = {
+            self._own.name,
+            *self._members_by_name,
+            *self._listed_leaving,
+            *self._heard_leaving_by_name,
+            *self._far_leaving_by_name,
+        }
+        return sorted(name for name in names if self.is_leaving(name))
+
     def live(self, now: float) -> list[str]:
         """Returns the names of daemons that may get work, sorted."""
         names = [self._own.name, *self._members_by_name]
--- a/kingcupvane/process/metrics.py
+++ b/kingcupvane/process/metrics.py
@@ -2,6 +2,7 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
+METRICS_PATH = "/metrics"
 TEXT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 SECONDS_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10]
 
--- /dev/null
+++ b/kingcupvane/process/mover.py
@@ -0,0 +1,236 @@
+"""The judge's task: moves traffic between versions while it holds the role.
+
+Entries count what they see; the holder of the role reads the counters,
+decides, and writes each decision by compare-and-swap. A new holder writes its
+fencing number into a move's record before it decides anything, so that a
+write of an earlier holder that was paused finds another revision.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+import msgspec
+import trio
+from result import Err, Ok
+
+from kingcupvane.clock import Clock
+from kingcupvane.connection.messages import EvidenceReply, EvidenceRequest
+from kingcupvane.connection.peer import PeerClient
+from kingcupvane.process.replica import Replica
+from kingcupvane.process.role import Role
+from kingcupvane.process.store import ABSENT, Conflict, Item, Store
+from kingcupvane.process.timeline import Timeline
+from kingcupvane.version.items import Entry, Move
+from kingcupvane.version.judge import Judge, Tally, minus
+from kingcupvane.version.move import (
+    STORE_PREFIX,
+    MoveState,
+    Phase,
+    decide,
+    wins,
+)
+
+PERIOD_S = 0.5
+
+
+class MoveRegister:
+    """What this daemon knows of moves; news may come in any order."""
+
+    def __init__(self, *, timeline: Timeline):
+        """Starts without moves.
+
+        Args:
+            timeline: Gets each decision that becomes known.
+        """
+        self._timeline = timeline
+        self.states_by_name: dict[str, MoveState] = {}
+
+    def hear(self, state: MoveState) -> bool:
+        """Takes in a state; false when it is no news."""
+        if not wins(state, self.states_by_name.get(state.name)):
+            return False
+        self.states_by_name[state.name] = state
+        self._timeline.record(
+            "move-state",
+            move=state.name,
+            phase=state.phase.name.lower(),
+            share=state.share,
+            number=state.number,
+            reason=state.reason,
+        )
+        return True
+
+    def keep(self, moves: Mapping[str, object]) -> None:
+        """Drops moves that the configuration no longer names."""
+        for name in list(self.states_by_name):
+            if name not in moves:
+                del self.states_by_name[name]
+
+
+@dataclass(kw_only=True, slots=True)
+class _Case:
+    """One move in the judge's hands."""
+
+    judge: Judge
+    item: Item
+    state: MoveState | None
+    held_since: float
+    tallies_by_source: dict[tuple, Tally] = field(default_factory=dict)
+
+
+class Mover:
+    """Judges all moves while it holds the role."""
+
+    def __init__(
+        self,
+        *,
+        role: Role,
+        store: Store,
+        client: PeerClient,
+        replica: Replica,
+        register: MoveRegister,
+        clock: Clock,
+        timeline: Timeline,
+    ):
+        """Makes the task's state.
+
+        Args:
+            role: The leased role of the judge.
+            store: Holds the decisions.
+            client: Reads the entries' counters.
+            replica: Knows moves and entries.
+            register: Gets decisions at once.
+            clock: Both clocks.
+            timeline: Gets what could not be done.
+        """
+        self._role = role
+        self._store = store
+        self._client = client
+        self._replica = replica
+        self._register = register
+        self._clock = clock
+        self._timeline = timeline
+        self._cases_by_name: dict[str, _Case] = {}
+
+    async def run(self) -> None:
+        """Judges until cancelled."""
+        while True:
+            await trio.sleep(PERIOD_S)
+            if self._role.holds():
+                await self.round()
+            else:
+                self._cases_by_name.clear()
+
+    async def round(self) -> None:
+        """Reads the counters and decides on each move."""
+        moves = self._replica.current.items.moves
+        if not moves:
+            return
+        for move in moves:
+            if move.name not in self._cases_by_name:
+                await self._open(move)
+        tallies = await self._read_counters(moves)
+        for move in moves:
+            case = self._cases_by_name.get(move.name)
+            if case is not None:
+                case.judge.add(_fresh(case, tallies))
+                await self._decide(move, case)
+
+    async def _open(self, move: Move) -> None:
+        """Takes a move over by writing this judge's fence into its record."""
+        found = await self._store.get(STORE_PREFIX + move.name)
+        if isinstance(found, Err):
+            return
+        item = found.ok_value
+        state = None
+        if item.revision != ABSENT:
+            state = msgspec.json.decode(item.value, type=MoveState)
+            self._register.hear(state)
+            fenced = msgspec.structs.replace(state, fence=self._role.fence)
+            written = await self._write(item, fenced)
+            if written is None:
+                return
+            item = written
+        self._cases_by_name[move.name] = _Case(
+            judge=Judge(service=move.service, old=move.old, new=move.new),
+            item=item,
+            state=state,
+            held_since=self._clock.now(),
+        )
+
+    async def _write(self, item: Item, state: MoveState) -> Item | None:
+        if not self._role.holds():
+            return None
+        value = msgspec.json.encode(state).decode()
+        reply = await self._store.swap(item.key, value, expected=item.revision)
+        match reply:
+            case Ok(written):
+                return Item(
+                    key=item.key, value=value, revision=written.revision
+                )
+            case Err(Conflict()):
+                self._timeline.record("stale-decision-refused", move=item.key)
+        return None
+
+    async def _read_counters(
+        self, moves: tuple[Move, ...]
+    ) -> dict[tuple, Tally]:
+        services = sorted({move.service for move in moves})
+        tallies: dict[tuple, Tally] = {}
+
+        async def read(entry: Entry) -> None:
+            reply = await self._client.ask(
+                entry.peer_address, EvidenceRequest(services=services)
+            )
+            message = reply.ok_value if isinstance(reply, Ok) else None
+            if not isinstance(message, EvidenceReply):
+                return
+            source = (entry.name, message.incarnation)
+            for tally in message.tallies:
+                key = (*source, tally.service, tally.version, tally.route)
+                tallies[key] = tally
+
+        async with trio.open_nursery() as nursery:
+            for entry in self._replica.current.items.entries:
+                nursery.start_soon(read, entry)
+        return tallies
+
+    async def _decide(self, move: Move, case: _Case) -> None:
+        now = self._clock.now()
+        decided = decide(
+            move,
+            case.state,
+            case.judge.find(),
+            held_s=now - case.held_since,
+            wall_s=self._clock.wall(),
+            fence=self._role.fence,
+        )
+        if decided is None:
+            return
+        item = await self._write(case.item, decided)
+        if item is None:
+            if decided.phase is Phase.TAKEN_BACK and self._role.holds():
+                self._register.hear(decided)
+            del self._cases_by_name[move.name]
+            return
+        self._register.hear(decided)
+        case.item = item
+        case.state = decided
+        case.held_since = now
+        case.judge.begin_step()
+
+
+def _fresh(case: _Case, tallies: Mapping[tuple, Tally]) -> list[Tally]:
+    """Returns what was counted since the last reading of this case.
+
+    The first reading of a process tells nothing: its counters hold what
+    happened before this judge began.
+    """
+    known = {key[:2] for key in case.tallies_by_source}
+    fresh = [
+        minus(tally, case.tallies_by_source.get(key))
+        for key, tally in tallies.items()
+        if key[:2] in known
+    ]
+    case.tallies_by_source.update(tallies)
+    return fresh
--- a/kingcupvane/process/relay.py
+++ b/kingcupvane/process/relay.py
@@ -6,21 +6,24 @@
 
 from collections.abc import Callable
 
+import msgspec
 import trio
 from result import Err, Ok
 
+from kingcupvane.process.mover import MoveRegister
 from kingcupvane.process.replica import Replica
 from kingcupvane.process.role import Role
-from kingcupvane.process.store import Store
+from kingcupvane.process.store import Item, Store
 from kingcupvane.settings import StoreSettings
-from kingcupvane.version.configuration import STORE_KEY
+from kingcupvane.version.configuration import STORE_KEY, STORE_PREFIX
+from kingcupvane.version.move import MoveState
 
 PAUSE_S = 0.5
 CANDIDATES = 2
 
 
 class Relay:
-    """Watches the configuration while it holds the role."""
+    """Watches configuration and moves while it holds the role."""
 
     def __init__(
         self,
@@ -28,6 +31,7 @@
         role: Role,
         store: Store,
         replica: Replica,
+        register: MoveRegister,
         settings: StoreSettings,
     ):
         """Makes the task's state.
@@ -36,11 +40,13 @@
             role: The leased role.
             store: The platform's store.
             replica: Gets newer configurations.
+            register: Gets decisions about moves.
             settings: Longest wait of a watch.
         """
         self._role = role
         self._store = store
         self._replica = replica
+        self._register = register
         self._settings = settings
         self._seen = 0
 
@@ -56,7 +62,7 @@
     async def watch_once(self) -> None:
         """Makes one watch call and takes in what it returns."""
         reply = await self._store.watch(
-            STORE_KEY, after=self._seen, wait_s=self._settings.watch_s
+            STORE_PREFIX, after=self._seen, wait_s=self._settings.watch_s
         )
         if isinstance(reply, Err):
             await trio.sleep(PAUSE_S)
@@ -64,11 +70,18 @@
         listing = reply.ok_value
         for item in listing.items:
             self._seen = max(self._seen, item.revision)
-            self._replica.offer(item.value, source="store")
+            self._take(item)
         self._replica.confirm(self._replica.current.revision)
 
+    def _take(self, item: Item) -> None:
+        if item.key == STORE_KEY:
+            self._replica.offer(item.value, source="store")
+        else:
+            state = msgspec.json.decode(item.value, type=MoveState)
+            self._register.hear(state)
+
 
-async def drive_role(role: Role, *, is_candidate: Callable[[], bool]) -> None:
+async def drive_role(role: Role, is_candidate: Callable[[], bool]) -> None:
     """Keeps trying to win or renew a role until cancelled."""
     while True:
         wait_s = await role.step(candidate=is_candidate())
--- a/kingcupvane/request/dispatch.py
+++ b/kingcupvane/request/dispatch.py
@@ -27,6 +27,7 @@
 from kingcupvane.settings import QueueSettings, RetrySettings
 from kingcupvane.version.configuration import Configuration
 from kingcupvane.version.items import Target
+from kingcupvane.version.move import VersionShare
 
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
@@ -76,7 +77,7 @@
         crashes: CrashRegistry,
         queue: QueueSettings,
         retry: RetrySettings,
-        shares: Callable[[str], Mapping[str, float]],
+        shares: Callable[[str], Mapping[str, VersionShare]],
         observe: Callable[[Sample], None],
     ):
         """Makes a dispatcher.
--- a/kingcupvane/request/handler.py
+++ b/kingcupvane/request/handler.py
@@ -1,7 +1,6 @@
 """The way of a request from the caller's connection to its answer."""
 
 import re
-from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 import trio
@@ -12,6 +11,7 @@
 from kingcupvane.connection.target import Answer, AnswerSink
 from kingcupvane.errors import Executed, Refusal, Step
 from kingcupvane.process.metrics import Metrics
+from kingcupvane.process.replica import Replica
 from kingcupvane.process.timeline import Timeline
 from kingcupvane.request import authentication, retry
 from kingcupvane.request.admission import Admission
@@ -68,6 +68,37 @@
         return len(gone)
 
 
+class RefusalCounter:
+    """Counts refusals by class, and tells the time line now and then.
+
+    Attributes:
+        count_by_reason: Refusals since the start by their reason.
+    """
+
+    def __init__(self, *, timeline: Timeline):
+        """Starts without refusals.
+
+        Args:
+            timeline: Gets the 1st, 2nd, 4th, 8th refusal of each class.
+        """
+        self._timeline = timeline
+        self.count_by_reason: dict[str, int] = {}
+
+    def count(self, refusal: Refusal) -> None:
+        """Counts a refusal."""
+        count = self.count_by_reason.get(refusal.reason, 0) + 1
+        self.count_by_reason[refusal.reason] = count
+        if count & (count - 1) == 0:
+            self._timeline.record(
+                "refusals",
+                reason=refusal.reason,
+                count=count,
+                step=refusal.step.value,
+                peer=refusal.peer,
+                executed=refusal.executed.value,
+            )
+
+
 class RequestHandler:
     """Serves requests of callers for services."""
 
@@ -76,41 +107,40 @@
         *,
         settings: RequestSettings,
         clock: Clock,
-        timeline: Timeline,
         metrics: Metrics,
+        refusals: RefusalCounter,
         admission: Admission,
         dispatcher: Dispatcher,
         orders: OrderRunner,
         streams: StreamRegistry,
-        configuration: Callable[[], Configuration],
-        usable: Callable[[], Result[None, str]],
+        replica: Replica,
     ):
         """Makes a handler.
 
         Args:
             settings: Bounds of one request.
             clock: Monotonic clock.
-            timeline: Gets refusals by class.
             metrics: Counts requests.
+            refusals: Counts refusals by class.
             admission: Knows the accounts' shares.
             dispatcher: Carries requests to targets.
             orders: Runs requests that run at most once.
             streams: Knows the answers that are being passed on.
-            configuration: Returns the revision in force.
-            usable: Returns why the configuration must not be used, if so.
+            replica: Holds the configuration in force.
         """
         self._settings = settings
         self._clock = clock
-        self._timeline = timeline
         self._metrics = metrics
+        self._refusals = refusals
         self._admission = admission
         self._dispatcher = dispatcher
         self._orders = orders
         self._streams = streams
-        self._configuration = configuration
-        self._usable = usable
+        self._replica = replica
         self._buffered = 0
-        self.refusals_by_reason: dict[str, int] = {}
+
+    def _configuration(self) -> Configuration:
+        return self._replica.current
 
     async def handle(self, request: asgi.HttpRequest, send: asgi.Send) -> None:
         """Serves one request."""
@@ -125,7 +155,7 @@
                     await _send_answer(answer, send)
             case Err(refusal):
                 label = refusal.reason
-                self._note(refusal)
+                self._refusals.count(refusal)
                 if sink.begun:
                     raise AnswerCutError(refusal.reason)
                 await problem.to_response(refusal).send(send)
@@ -134,23 +164,10 @@
             {"service": service}, self._clock.now() - started_at
         )
 
-    def _note(self, refusal: Refusal) -> None:
-        count = self.refusals_by_reason.get(refusal.reason, 0) + 1
-        self.refusals_by_reason[refusal.reason] = count
-        if count & (count - 1) == 0:
-            self._timeline.record(
-                "refusals",
-                reason=refusal.reason,
-                count=count,
-                step=refusal.step.value,
-                peer=refusal.peer,
-                executed=refusal.executed.value,
-            )
-
     async def _serve(
         self, request: asgi.HttpRequest, sink: AnswerSink, started_at: float
     ) -> Result[Answer, Refusal]:
-        usable = self._usable()
+        usable = self._replica.usable()
         if isinstance(usable, Err):
             return Err(_refuse_unusable(usable.err_value))
         identified = self._identify(request, started_at)
--- a/kingcupvane/request/routing.py
+++ b/kingcupvane/request/routing.py
@@ -13,6 +13,7 @@
 from kingcupvane.request.concurrency import Observation, TargetLoad
 from kingcupvane.version.configuration import Configuration
 from kingcupvane.version.items import READY, Target
+from kingcupvane.version.move import VersionShare
 
 LOAN_TTL_S = 2.0
 LOAN_MARGIN_S = 0.5
@@ -54,24 +55,24 @@
         """Starts without requests."""
         self._total = 0
         self._count_by_version: dict[str, int] = {}
-        self._shares: Mapping[str, float] = {}
+        self._shares: Mapping[str, VersionShare] = {}
 
-    def choose(self, share_by_version: Mapping[str, float]) -> list[str]:
+    def choose(self, shares: Mapping[str, VersionShare]) -> list[str]:
         """Returns the versions that may serve, the preferred one first."""
-        if share_by_version != self._shares:
-            self._shares = dict(share_by_version)
+        if shares != self._shares:
+            self._shares = dict(shares)
             self._total = 0
             self._count_by_version = {}
         total = self._total + 1
         room_by_version = {
-            version: share * total - self._count_by_version.get(version, 0)
-            for version, share in share_by_version.items()
-            if share > 0
+            version: part.share * total - self._count_by_version.get(version, 0)
+            for version, part in shares.items()
+            if part.share > 0
         }
         allowed = [
             version
             for version, room in room_by_version.items()
-            if room >= 1 or share_by_version[version] >= 0.5
+            if room >= 1 or not shares[version].capped
         ]
         allowed.sort(key=lambda version: room_by_version[version])
         return allowed[::-1]
@@ -151,7 +152,7 @@
         self._random = random.Random(seed)
         self._loads_by_name: dict[str, TargetLoad] = {}
         self._counters_by_service: dict[str, ShareCounter] = {}
-        self._borrowed: dict[str, _Holding] = {}
+        self._borrowed: dict[tuple[str, str], _Holding] = {}
         self.lender = SlotLender()
 
     def load(self, target: Target) -> TargetLoad:
@@ -171,7 +172,13 @@
             if name not in present and not self._loads_by_name[name].in_flight:
                 del self._loads_by_name[name]
         for target in present.values():
-            self.load(target).allotment = self._usable(target, entries, now)
+            self.refresh(target, entries, now)
+
+    def refresh(
+        self, target: Target, entries: Sequence[str], now: float
+    ) -> None:
+        """Counts again how many slots of a target this entry may use."""
+        self.load(target).allotment = self._usable(target, entries, now)
 
     def _usable(
         self, target: Target, entries: Sequence[str], now: float
@@ -180,13 +187,27 @@
             own = 0
         else:
             own = allotment(target, entries, name=self._name)
-        held = self._borrowed.get(target.name)
-        borrowed = held.slots if held and now < held.until else 0
+        borrowed = self.borrowed(target.name, now)
         return max(0, own + borrowed - self.lender.lent(target.name, now))
 
-    def borrow(self, target: str, slots: int, until: float) -> None:
+    def borrow(
+        self, target: str, lender: str, slots: int, until: float
+    ) -> None:
         """Takes in a loan of slots that ends at `until`."""
-        self._borrowed[target] = _Holding(slots=slots, until=until)
+        self._borrowed[(target, lender)] = _Holding(slots=slots, until=until)
+
+    def borrowed(self, target: str, now: float) -> int:
+        """Returns how many slots of a target others lend to this entry."""
+        return sum(
+            holding.slots
+            for (name, _), holding in self._borrowed.items()
+            if name == target and now < holding.until
+        )
+
+    def holding(self, target: str, lender: str, now: float) -> int:
+        """Returns how many slots of a target one lender lends."""
+        held = self._borrowed.get((target, lender))
+        return held.slots if held and now < held.until else 0
 
     def spare(self, target: Target) -> int:
         """Returns slots of a target that this entry could lend."""
@@ -197,7 +218,7 @@
         self,
         service: str,
         configuration: Configuration,
-        share_by_version: Mapping[str, float],
+        shares: Mapping[str, VersionShare],
         *,
         exclude: frozenset[str],
         now: float,
@@ -207,13 +228,13 @@
         Args:
             service: Name of the service.
             configuration: The revision in force.
-            share_by_version: Each version's part of the traffic.
+            shares: Each version's part of the traffic.
             exclude: Targets that were tried for this request.
             now: Monotonic seconds.
         """
         counter = self._counters_by_service.setdefault(service, ShareCounter())
         targets = configuration.targets_by_service.get(service, ())
-        for version in counter.choose(share_by_version):
+        for version in counter.choose(shares):
             free = [
                 target
                 for target in targets
--- a/kingcupvane/version/configuration.py
+++ b/kingcupvane/version/configuration.py
@@ -21,7 +21,8 @@
 
 CHANGE_IDS_KEPT = 256
 DIGEST_BYTES = 16
-STORE_KEY = "configuration"
+STORE_KEY = "live/configuration"
+STORE_PREFIX = "live/"
 KINDS = (
     "entries",
     "services",
@@ -121,6 +122,11 @@
         """Keys by name."""
         return _index(self.items.keys)
 
+    @functools.cached_property
+    def moves_by_name(self) -> Mapping[str, Move]:
+        """Moves by name."""
+        return _index(self.items.moves)
+
     @functools.cached_property
     def targets_by_service(self) -> Mapping[str, tuple[Target, ...]]:
         """Targets by the name of their service."""
--- /dev/null
+++ b/kingcupvane/version/judge.py
@@ -0,0 +1,225 @@
+"""Judgement of a new version against the old one at the same time.
+
+For each route the judge runs two sequential tests (Page's cumulative sum),
+one on failures and one on slow answers. An answer is slow when it takes
+longer than nine in ten answers of the old version took at the same time, so a
+general overload slows both and is nobody's fault. A cumulative sum forgets
+good times, so a fault that shows late is found as fast as one from the start.
+"""
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from kingcupvane.version.move import Finding, Verdict
+
+BUCKET_BASE_S = 0.001
+BUCKET_RATIO = 1.25
+BUCKET_COUNT = 60
+SLOW_QUANTILE = 0.9
+FAILURE_RISE = 0.1
+SLOW_RISE = 0.35
+FAILURE_FLOOR = 0.01
+ALARM = 7.0
+CALM = 3.5
+SAMPLES_MIN = 30
+ROUTE_SAMPLES_MIN = 5
+REFERENCE_MIN = 20
+REFERENCE_KEEP = 0.95
+
+
+class Tally(msgspec.Struct, kw_only=True):
+    """Exchanges with one version on one route, counted since a start.
+
+    Attributes:
+        service: Name of the service.
+        version: Name of the version.
+        route: Prefix of the route.
+        count: Exchanges.
+        failed: Those that failed.
+        latencies: Exchanges by latency bucket.
+    """
+
+    service: str
+    version: str
+    route: str
+    count: int = 0
+    failed: int = 0
+    latencies: list[int] = msgspec.field(
+        default_factory=lambda: [0] * BUCKET_COUNT
+    )
+
+    def add(self, *, failed: bool, latency_s: float) -> None:
+        """Counts an exchange."""
+        self.count += 1
+        self.failed += failed
+        self.latencies[bucket_of(latency_s)] += 1
+
+
+def bucket_of(latency_s: float) -> int:
+    """Returns the index of the latency bucket, each 25% wider."""
+    if latency_s <= BUCKET_BASE_S:
+        return 0
+    place = math.log(latency_s / BUCKET_BASE_S) / math.log(BUCKET_RATIO)
+    return min(BUCKET_COUNT - 1, int(place) + 1)
+
+
+def minus(later: Tally, earlier: Tally | None) -> Tally:
+    """Returns what was counted between two readings of one tally."""
+    if earlier is None or later.count < earlier.count:
+        return later
+    pairs = zip(later.latencies, earlier.latencies, strict=True)
+    return Tally(
+        service=later.service,
+        version=later.version,
+        route=later.route,
+        count=later.count - earlier.count,
+        failed=later.failed - earlier.failed,
+        latencies=[a - b for a, b in pairs],
+    )
+
+
+class CumulativeSum:
+    """Page's test for a rise of a probability.
+
+    Attributes:
+        value: Evidence for the rise, never below zero.
+    """
+
+    def __init__(self):
+        """Starts without evidence."""
+        self.value = 0.0
+
+    def add(self, *, hits: float, misses: float, base: float, rise: float):
+        """Adds evidence.
+
+        Args:
+            hits: Events.
+            misses: Trials without the event.
+            base: Probability of the event without a fault.
+            rise: Smallest rise that counts as a fault.
+        """
+        raised = min(0.99, base + rise)
+        gain = hits * math.log(raised / base)
+        loss = misses * math.log((1 - raised) / (1 - base))
+        self.value = max(0.0, self.value + gain + loss)
+
+
+@dataclass(kw_only=True, slots=True)
+class _Reference:
+    """Recent exchanges of the old version; older ones weigh less."""
+
+    count: float = 0.0
+    failed: float = 0.0
+    latencies: list[float] = field(default_factory=lambda: [0.0] * BUCKET_COUNT)
+
+    def add(self, tally: Tally) -> None:
+        self.count = self.count * REFERENCE_KEEP + tally.count
+        self.failed = self.failed * REFERENCE_KEEP + tally.failed
+        pairs = zip(self.latencies, tally.latencies, strict=True)
+        self.latencies = [a * REFERENCE_KEEP + b for a, b in pairs]
+
+    def failure_rate(self) -> float:
+        if not self.count:
+            return FAILURE_FLOOR
+        return min(0.9, max(FAILURE_FLOOR, self.failed / self.count))
+
+    def slow_bucket(self) -> int:
+        wanted = SLOW_QUANTILE * sum(self.latencies)
+        passed = 0.0
+        for index, count in enumerate(self.latencies):
+            passed += count
+            if passed >= wanted:
+                return index
+        return BUCKET_COUNT - 1
+
+
+@dataclass(kw_only=True, slots=True)
+class _RouteTest:
+    reference: _Reference = field(default_factory=_Reference)
+    failures: CumulativeSum = field(default_factory=CumulativeSum)
+    slowness: CumulativeSum = field(default_factory=CumulativeSum)
+    new_count: int = 0
+
+
+class Judge:
+    """Evidence about one move; does no I/O."""
+
+    def __init__(self, *, service: str, old: str, new: str):
+        """Starts without evidence.
+
+        Args:
+            service: Name of the service.
+            old: Name of the old version.
+            new: Name of the new version.
+        """
+        self._service = service
+        self._old = old
+        self._new = new
+        self._tests_by_route: dict[str, _RouteTest] = {}
+        self._since_step = 0
+
+    def begin_step(self) -> None:
+        """Asks for fresh evidence before the next step."""
+        self._since_step = 0
+
+    def add(self, tallies: Iterable[Tally]) -> None:
+        """Takes in what was counted in one period."""
+        tallies = [t for t in tallies if t.service == self._service]
+        for tally in tallies:
+            if tally.version == self._old:
+                self._test(tally.route).reference.add(tally)
+        for tally in tallies:
+            if tally.version == self._new and tally.count:
+                self._add_new(self._test(tally.route), tally)
+
+    def _test(self, route: str) -> _RouteTest:
+        return self._tests_by_route.setdefault(route, _RouteTest())
+
+    def _add_new(self, test: _RouteTest, tally: Tally) -> None:
+        test.new_count += tally.count
+        self._since_step += tally.count
+        reference = test.reference
+        test.failures.add(
+            hits=tally.failed,
+            misses=tally.count - tally.failed,
+            base=reference.failure_rate(),
+            rise=FAILURE_RISE,
+        )
+        if reference.count < REFERENCE_MIN:
+            return
+        limit = reference.slow_bucket()
+        slow = sum(tally.latencies[limit + 1 :])
+        test.slowness.add(
+            hits=slow,
+            misses=tally.count - slow,
+            base=1 - SLOW_QUANTILE,
+            rise=SLOW_RISE,
+        )
+
+    def find(self) -> Finding:
+        """Returns what the evidence says now."""
+        for route, test in sorted(self._tests_by_route.items()):
+            if test.failures.value >= ALARM:
+                why = f"the new version fails more often on {route}"
+                return Finding(verdict=Verdict.BAD, reason=why)
+            if test.slowness.value >= ALARM:
+                why = f"the new version is slower on {route}"
+                return Finding(verdict=Verdict.BAD, reason=why)
+        return self._find_good()
+
+    def _find_good(self) -> Finding:
+        if self._since_step < SAMPLES_MIN:
+            why = f"{self._since_step} answers of {SAMPLES_MIN} seen"
+            return Finding(verdict=Verdict.THIN, reason=why)
+        for route, test in sorted(self._tests_by_route.items()):
+            if test.new_count < ROUTE_SAMPLES_MIN:
+                why = f"few answers of the new version on {route}"
+                return Finding(verdict=Verdict.THIN, reason=why)
+            if max(test.failures.value, test.slowness.value) >= CALM:
+                why = f"some evidence against the new version on {route}"
+                return Finding(verdict=Verdict.THIN, reason=why)
+        why = f"{self._since_step} answers show no fault"
+        return Finding(verdict=Verdict.GOOD, reason=why)
--- a/kingcupvane/version/share.py
+++ b/kingcupvane/version/share.py
@@ -25,6 +25,7 @@
 CHANGE_MIN = 0.03
 RENEWALS_PER_LOAN = 3
 DEMAND_MIN = 0.01
+IDLE_NEED = 0.02
 
 
 class Loan(msgspec.Struct, frozen=True, array_like=True):
@@ -272,9 +273,7 @@
             ):
                 claims.append(account.name)
                 pool = Loan(pool.rate - floor.rate, pool.burst - floor.burst)
-            loan = self._own_loan(
-                account, pool, rows.values(), known, demand, floor
-            )
+            loan = self._own_loan(account, pool, rows.values(), demand, floor)
             if loan.rate > 0:
                 loans[account.name] = loan
         return Row(
@@ -291,26 +290,23 @@
         account: Account,
         pool: Loan,
         others: Iterable[Row],
-        known: Row,
         demand: Mapping[str, float],
         floor: Loan,
     ) -> Loan:
         name = account.name
         others = tuple(others)
+        idle = IDLE_NEED * account.rate / (len(others) + 1)
         needs = {
-            row.holder: max(
-                0.0, row.demand_by_account.get(name, 0.0) - floor.rate
-            )
+            row.holder: _need(row.demand_by_account, name, floor) + idle
             for row in others
         }
-        needs[self._name] = max(0.0, demand.get(name, 0.0) - floor.rate)
+        needs[self._name] = _need(demand, name, floor) + idle
         lent = _lent(others, name)
         free = Loan(
             max(0.0, pool.rate - lent.rate), max(0.0, pool.burst - lent.burst)
         )
-        if sum(needs.values()) <= 0 or pool.rate <= 0:
-            had = known.loans_by_account.get(name, Loan())
-            return Loan(min(had.rate, free.rate), min(had.burst, free.burst))
+        if pool.rate <= 0:
+            return Loan()
         part = water_fill(pool.rate, needs)[self._name] / pool.rate
         return Loan(
             min(pool.rate * part, free.rate),
@@ -351,6 +347,12 @@
     return moved or abs(demand_after - demand_before) > 3 * least
 
 
+def _need(
+    demand_by_account: Mapping[str, float], name: str, floor: Loan
+) -> float:
+    return max(0.0, demand_by_account.get(name, 0.0) - floor.rate)
+
+
 def _lent(rows: Iterable[Row], name: str) -> Loan:
     loans = [row.loans_by_account.get(name, Loan()) for row in rows]
     return Loan(
