--- a/kingcupvane/process/membership.py
+++ b/kingcupvane/process/membership.py
@@ -41,6 +41,7 @@
         self._own = MemberBeat(name, incarnation, 0)
         self._members_by_name: dict[str, _Member] = {}
         self._listed_leaving: frozenset[str] = frozenset()
+        self._near: frozenset[str] | None = None
         self._heard_leaving_by_name: dict[str, float] = {}
         self._far_leaving_by_name: dict[str, MemberBeat] = {}
 
@@ -69,7 +70,7 @@
     def hear(self, beats: Iterable[MemberBeat], now: float) -> None:
         """Takes in what a peer passed on."""
         for beat in beats:
-            if beat.name == self._own.name:
+            if beat.name == self._own.name or not self._is_near(beat.name):
                 continue
             known = self._members_by_name.get(beat.name)
             if known is None or _newer(beat, known.beat):
@@ -77,6 +78,9 @@
                     beat=beat, heard_at=now
                 )
 
+    def _is_near(self, name: str) -> bool:
+        return self._near is None or name in self._near
+
     def hear_far(self, beats: Iterable[MemberBeat]) -> None:
         """Takes in who is leaving in another data centre."""
         known = self._far_leaving_by_name
@@ -107,8 +111,9 @@
         return sorted(self._listed_leaving)
 
     def keep(self, names: Iterable[str]) -> None:
-        """Drops daemons other than these of the data centre."""
-        kept = set(names)
+        """Knows from now on only these daemons of the data centre."""
+        kept = frozenset(names)
+        self._near = kept
         for name in list(self._members_by_name):
             if name not in kept:
                 del self._members_by_name[name]
--- /dev/null
+++ b/kingcupvane/tests/fakes.py
@@ -0,0 +1,124 @@
+"""Fakes at the interfaces: a store in memory, and clocks that trio drives."""
+
+from collections import deque
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import trio
+from result import Err, Ok, Result
+
+from kingcupvane.errors import StoreError
+from kingcupvane.process.store import Conflict, Item, Listing, VmRecord
+from kingcupvane.standin.store import StoreState
+
+WALL_START_S = 1.7e9
+
+
+class TrioClock:
+    """Both clocks read from trio's, which tests may mock."""
+
+    def now(self) -> float:
+        """Returns trio's time, in seconds."""
+        return trio.current_time()
+
+    def wall(self) -> float:
+        """Returns a wall time that moves with trio's."""
+        return WALL_START_S + trio.current_time()
+
+
+class MemoryStore:
+    """A store in memory whose next calls can be told to fail.
+
+    Attributes:
+        state: Values and leases.
+        faults: Words for the next writes: `ok`, `refuse` (no effect, known),
+            `drop` (no effect, unknown) or `lose` (effect, answer lost).
+        down: Whether every call fails without effect.
+        delay_s: Time that each call takes, in seconds.
+        writes: Writes that were tried.
+    """
+
+    def __init__(self, *, clock):
+        """Starts empty."""
+        self.state = StoreState(clock=clock)
+        self.faults: deque[str] = deque()
+        self.down = False
+        self.delay_s = 0.0
+        self.writes = 0
+
+    async def _begin(self) -> None:
+        await trio.sleep(self.delay_s)
+        self.state.expire()
+
+    def _error(self, *, may_have_happened: bool) -> Err[StoreError]:
+        return Err(
+            StoreError(
+                step="test",
+                peer="store",
+                detail="fault",
+                may_have_happened=may_have_happened,
+            )
+        )
+
+    async def get(self, key: str) -> Result[Item, StoreError]:
+        await self._begin()
+        if self.down:
+            return self._error(may_have_happened=False)
+        return Ok(self.state.get(key))
+
+    async def scan(self, prefix: str) -> Result[Listing, StoreError]:
+        await self._begin()
+        items = self.state.list(prefix)
+        return Ok(Listing(items=items, revision=self.state.revision))
+
+    async def swap(
+        self, key: str, value: str, *, expected: int, lease: int = 0
+    ) -> Result[Item, Conflict | StoreError]:
+        await self._begin()
+        self.writes += 1
+        fault = self.faults.popleft() if self.faults else "ok"
+        if self.down or fault == "refuse":
+            return self._error(may_have_happened=False)
+        if fault == "drop":
+            return self._error(may_have_happened=True)
+        item = self.state.swap(key, value, expected=expected, lease=lease)
+        if fault == "lose":
+            return self._error(may_have_happened=True)
+        if item is None:
+            return Err(Conflict(current=self.state.get(key)))
+        return Ok(item)
+
+    async def grant(self, ttl_s: float) -> Result[int, StoreError]:
+        await self._begin()
+        if self.down:
+            return self._error(may_have_happened=False)
+        return Ok(self.state.grant(ttl_s))
+
+    async def renew(self, lease: int) -> Result[bool, StoreError]:
+        await self._begin()
+        if self.down:
+            return self._error(may_have_happened=False)
+        return Ok(self.state.renew(lease))
+
+    async def revoke(self, lease: int) -> Result[bool, StoreError]:
+        await self._begin()
+        if self.down:
+            return self._error(may_have_happened=False)
+        return Ok(self.state.revoke(lease))
+
+    async def watch(
+        self, prefix: str, *, after: int, wait_s: float
+    ) -> Result[Listing, StoreError]:
+        await self._begin()
+        items = self.state.list(prefix, after=after)
+        return Ok(Listing(items=items, revision=self.state.revision))
+
+    async def vms(self) -> Result[list[VmRecord], StoreError]:
+        return Ok([])
+
+    @contextmanager
+    def outage(self) -> Iterator[None]:
+        """Makes every call fail for a while."""
+        self.down = True
+        yield
+        self.down = False
--- a/kingcupvane/version/share.py
+++ b/kingcupvane/version/share.py
@@ -85,8 +85,7 @@
         left -= granted[name]
     total = sum(granted.values())
     if left > 0 and total > 0:
-        factor = pool / total
-        granted = {name: part * factor for name, part in granted.items()}
+        granted = {n: part / total * pool for n, part in granted.items()}
     return granted
 
 
