--- a/kingcupvane/cli.py
+++ b/kingcupvane/cli.py
@@ -87,6 +87,18 @@
 
         return Action(call=call)
 
+    def link(self, settings_file: str) -> Action:
+        """Runs the stand-in for a network link that can be cut."""
+
+        def call() -> int:
+            from kingcupvane.standin.run import run_link
+
+            model = settings.LinkStandinSettings
+            loaded = settings.load(settings_file, model)
+            return _run(lambda: run_link(loaded))
+
+        return Action(call=call)
+
     def check(self, note_file: str, operator: str = "") -> Action:
         """Checks a release note, against the store when OPERATOR is given."""
 
--- a/kingcupvane/settings.py
+++ b/kingcupvane/settings.py
@@ -11,6 +11,7 @@
     Field,
     ValidationError,
 )
+from pydantic.fields import FieldInfo
 
 from kingcupvane.errors import UsageError
 
@@ -319,6 +320,16 @@
     cold_factor: float = Field(
         5.0, ge=1, description="How many times slower it is when cold."
     )
+    run_log: str = Field(
+        "", description="File that gets a line for each keyed run."
+    )
+
+
+class LinkStandinSettings(BorderModel):
+    """Settings of the stand-in for a network link, which can be cut."""
+
+    address: Address = Field(description="Address to listen on.")
+    to: Address = Field(description="Address to forward to.")
 
 
 Model = TypeVar("Model", bound=BorderModel)
@@ -388,3 +399,41 @@
     if not secret:
         raise UsageError(f"peer_secret_file: {path} is empty")
     return secret
+
+
+MODELS: tuple[type[BorderModel], ...] = (
+    EntrySettings,
+    StoreSettings,
+    TlsSettings,
+    LookupSettings,
+    RequestSettings,
+    QueueSettings,
+    RetrySettings,
+    OrderSettings,
+    ShareSettings,
+    HeartbeatSettings,
+    ConfigurationSettings,
+    TimelineSettings,
+    OperatorSettings,
+    StoreStandinSettings,
+    TargetStandinSettings,
+    LinkStandinSettings,
+)
+
+
+def reference() -> str:
+    """Returns the reference page of all settings, in Markdown."""
+    lines = ["# Settings", "", "Made from the models; a test compares them."]
+    for model in MODELS:
+        lines.extend(["", f"## {model.__name__}", "", model.__doc__ or "", ""])
+        lines.extend(["| key | default | meaning |", "| --- | --- | --- |"])
+        for name, field in model.model_fields.items():
+            lines.append(_reference_row(name, field))
+    return "\n".join(lines) + "\n"
+
+
+def _reference_row(name: str, field: FieldInfo) -> str:
+    default = "(needed)" if field.is_required() else repr(field.default)
+    if isinstance(field.default, BorderModel):
+        default = f"see {type(field.default).__name__}"
+    return f"| `{name}` | {default} | {field.description} |"
--- a/kingcupvane/standin/fleet.py
+++ b/kingcupvane/standin/fleet.py
@@ -103,6 +103,7 @@
         self.entries: list[EntrySpec] = []
         self.targets: list[TargetSpec] = []
         self.store_address = ""
+        self.run_log = folder / "runs.log"
         folder.mkdir(parents=True, exist_ok=True)
 
     def __enter__(self) -> "Fleet":
@@ -133,6 +134,7 @@
             "backlog": spec.backlog,
             "service_s": spec.service_s,
             "cold_s": spec.cold_s,
+            "run_log": str(self.run_log),
         }
         return self._start(spec.name, "target", spec.address, settings)
 
@@ -140,6 +142,7 @@
         """Starts an entry daemon."""
         seeds = [other.peer_address for other in self.entries]
         self.entries.append(spec)
+        link = self._add_link(f"{spec.name}-store", self.store_address)
         settings = {
             "name": spec.name,
             "region": spec.region,
@@ -148,11 +151,33 @@
             "peer_address": spec.peer_address,
             "peer_secret_file": str(self._secret()),
             "seeds": seeds,
-            "store": {"address": self.store_address},
+            "store": {"address": link.address},
             **values,
         }
         return self._start(spec.name, "entry", spec.caller_address, settings)
 
+    def _add_link(self, name: str, to: str) -> Member:
+        address = free_address()
+        settings = {"address": address, "to": to}
+        return self._start(name, "link", address, settings)
+
+    def cut(self, name: str) -> None:
+        """Cuts an entry's link to the store."""
+        link = self.members_by_name[f"{name}-store"]
+        link.process.send_signal(signal.SIGUSR1)
+
+    def heal(self, name: str) -> None:
+        """Heals an entry's link to the store."""
+        link = self.members_by_name[f"{name}-store"]
+        link.process.send_signal(signal.SIGUSR2)
+
+    def runs(self, key: str) -> int:
+        """Returns how often targets ran an idempotency key."""
+        if not self.run_log.exists():
+            return 0
+        lines = self.run_log.read_text().splitlines()
+        return sum(1 for line in lines if line.split()[1] == key)
+
     def operator_file(self) -> Path:
         """Writes the operator's settings and returns their path."""
         path = self._folder / "operator.toml"
--- /dev/null
+++ b/kingcupvane/standin/link.py
@@ -0,0 +1,81 @@
+"""Stand-in for a network link: forwards TCP until it is told to cut.
+
+SIGUSR1 cuts: what was sent is lost and new connections hang, as packets do
+that are dropped. SIGUSR2 heals.
+"""
+
+import signal
+
+import trio
+
+from kingcupvane.settings import LinkStandinSettings
+
+CHUNK_BYTES = 64 * 1024
+
+
+class Link:
+    """Forwards connections to one address."""
+
+    def __init__(self, *, settings: LinkStandinSettings):
+        """Makes a link that is whole."""
+        self._settings = settings
+        self._cut = False
+        self._scopes: set[trio.CancelScope] = set()
+
+    async def run(self) -> None:
+        """Forwards until SIGTERM or SIGINT."""
+        host, _, port = self._settings.address.rpartition(":")
+        with trio.open_signal_receiver(
+            signal.SIGUSR1, signal.SIGUSR2, signal.SIGTERM, signal.SIGINT
+        ) as signals:
+            async with trio.open_nursery() as nursery:
+                await nursery.start(
+                    lambda task_status: trio.serve_tcp(
+                        self._forward,
+                        int(port),
+                        host=host,
+                        task_status=task_status,
+                    )
+                )
+                async for received in signals:
+                    if received in (signal.SIGTERM, signal.SIGINT):
+                        break
+                    self._switch(cut=received == signal.SIGUSR1)
+                nursery.cancel_scope.cancel()
+
+    def _switch(self, *, cut: bool) -> None:
+        self._cut = cut
+        for scope in list(self._scopes):
+            scope.cancel()
+
+    async def _forward(self, near: trio.SocketStream) -> None:
+        with trio.CancelScope() as scope:
+            self._scopes.add(scope)
+            try:
+                if self._cut:
+                    await trio.sleep_forever()
+                await self._join(near)
+            except (OSError, trio.BrokenResourceError):
+                pass
+            finally:
+                self._scopes.discard(scope)
+
+    async def _join(self, near: trio.SocketStream) -> None:
+        host, _, port = self._settings.to.rpartition(":")
+        far = await trio.open_tcp_stream(host, int(port))
+        async with far, trio.open_nursery() as nursery:
+            nursery.start_soon(_copy, near, far, nursery.cancel_scope)
+            nursery.start_soon(_copy, far, near, nursery.cancel_scope)
+
+
+async def _copy(
+    source: trio.SocketStream,
+    sink: trio.SocketStream,
+    scope: trio.CancelScope,
+) -> None:
+    try:
+        async for chunk in source:
+            await sink.send_all(chunk)
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        pass
+    scope.cancel()
--- a/kingcupvane/standin/run.py
+++ b/kingcupvane/standin/run.py
@@ -4,7 +4,12 @@
 
 import trio
 
-from kingcupvane.settings import StoreStandinSettings, TargetStandinSettings
+from kingcupvane.settings import (
+    LinkStandinSettings,
+    StoreStandinSettings,
+    TargetStandinSettings,
+)
+from kingcupvane.standin.link import Link
 from kingcupvane.standin.store import StoreServer
 from kingcupvane.standin.target import TargetServer
 
@@ -19,6 +24,11 @@
     await _run_until_signal(TargetServer(settings=settings))
 
 
+async def run_link(settings: LinkStandinSettings) -> None:
+    """Runs the stand-in for a network link."""
+    await Link(settings=settings).run()
+
+
 async def _run_until_signal(server: StoreServer | TargetServer) -> None:
     stop = trio.Event()
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
--- a/kingcupvane/standin/target.py
+++ b/kingcupvane/standin/target.py
@@ -190,12 +190,19 @@
         key = request.headers.get("idempotency-key", "")
         if key:
             report.runs_by_key[key] = report.runs_by_key.get(key, 0) + 1
+            self._log_run(key)
         account = request.headers.get("client-account", "")
         served = report.served_by_account
         served[account] = served.get(account, 0) + 1
         arrivals = report.arrivals_by_account.setdefault(account, [])
         arrivals.append(self._clock.now())
 
+    def _log_run(self, key: str) -> None:
+        """Keeps the run where it outlives this process."""
+        if self._settings.run_log:
+            with open(self._settings.run_log, "a", encoding="utf-8") as log:
+                log.write(f"{self._settings.name} {key}\n")
+
     def _echo(self, request: asgi.HttpRequest, body: bytes) -> Echo:
         return Echo(
             target=self._settings.name,
--- /dev/null
+++ b/kingcupvane/tests/test_configuration.py
@@ -0,0 +1,106 @@
+"""Tests of release notes and the configuration."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err
+
+from kingcupvane.process.replica import Replica
+from kingcupvane.settings import ConfigurationSettings
+from kingcupvane.tests.builders import configuration, items, target
+from kingcupvane.version.configuration import (
+    Configuration,
+    Items,
+    ReleaseNote,
+    Withdrawals,
+    merge,
+)
+from kingcupvane.version.items import Account, Key
+
+HASH = "0" * 64
+
+
+def test_merge_counts_revisions_up():
+    current = configuration()
+    assert current.revision == 1
+    note = ReleaseNote(
+        change_id="c2",
+        add=Items(targets=(target("t2"),)),
+        change=Items(accounts=(Account(name="acme", rate=5, burst=9),)),
+    )
+    after = merge(current, note).ok_value
+    assert after.revision == 2
+    assert set(after.targets_by_name) == {"t1", "t2"}
+    assert after.accounts_by_name["acme"].rate == 5
+
+
+def test_change_id_is_used_once():
+    note = ReleaseNote(change_id="base")
+    assert isinstance(merge(configuration(), note), Err)
+
+
+def test_withdrawn_key_never_returns():
+    gone = merge(
+        configuration(),
+        ReleaseNote(change_id="c2", withdraw=Withdrawals(keys=("k1",))),
+    ).ok_value
+    assert not gone.keys_by_name
+    again = ReleaseNote(
+        change_id="c3",
+        add=Items(keys=(Key(name="k1", account="acme", sha256=HASH),)),
+    )
+    assert "withdrawn" in merge(gone, again).err_value[0]
+
+
+def test_dangling_names_are_refused():
+    notes = [
+        ReleaseNote(change_id="c", withdraw=Withdrawals(accounts=("acme",))),
+        ReleaseNote(change_id="c", withdraw=Withdrawals(versions=("v1",))),
+        ReleaseNote(change_id="c", withdraw=Withdrawals(services=("treaty",))),
+        ReleaseNote(change_id="c", withdraw=Withdrawals(targets=("nope",))),
+        ReleaseNote(change_id="c", add=items()),
+    ]
+    for note in notes:
+        assert isinstance(merge(configuration(), note), Err)
+
+
+@given(st.permutations(range(6)), st.integers(0, 5))
+def test_replica_never_goes_back(order, again):
+    """Revisions arrive late, twice and in any order."""
+    from kingcupvane.clock import ManualClock
+    from kingcupvane.process.timeline import HybridClock, Timeline
+
+    clock = ManualClock()
+    timeline = Timeline(
+        process="t", clock=HybridClock(clock=clock), capacity=16
+    )
+    replica = Replica(
+        clock=clock, timeline=timeline, settings=ConfigurationSettings()
+    )
+    highest = 0
+    for revision in [*order, again]:
+        offered = Configuration(revision=revision)
+        replica.offer(offered.model_dump_json(), source="test")
+        highest = max(highest, revision)
+        assert replica.current.revision == highest
+
+
+def test_strict_mode_refuses_an_old_configuration(clock, timeline):
+    replica = Replica(
+        clock=clock,
+        timeline=timeline,
+        settings=ConfigurationSettings(strict_after_s=30),
+    )
+    assert isinstance(replica.usable(), Err)
+    replica.offer(configuration().model_dump_json(), source="test")
+    replica.confirm(1)
+    assert not isinstance(replica.usable(), Err)
+    clock.advance(31)
+    assert isinstance(replica.usable(), Err)
+
+
+def test_malformed_document_is_not_taken(clock, timeline):
+    replica = Replica(
+        clock=clock, timeline=timeline, settings=ConfigurationSettings()
+    )
+    assert not replica.offer('{"revision": 3, "rows": 1}', source="test")
+    assert replica.current.revision == 0
--- /dev/null
+++ b/kingcupvane/tests/test_move.py
@@ -0,0 +1,186 @@
+"""Tests of moves: their states, their end and their judgement."""
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from kingcupvane.tests.builders import move
+from kingcupvane.version.judge import Judge, Tally
+from kingcupvane.version.move import (
+    COMMIT_MARGIN_S,
+    Finding,
+    MoveState,
+    Phase,
+    Verdict,
+    decide,
+    new_part,
+    wins,
+)
+
+STATE = st.builds(
+    MoveState,
+    phase=st.sampled_from(Phase),
+    number=st.integers(0, 3),
+    name=st.just("m1"),
+    share=st.sampled_from([0.05, 0.5]),
+)
+VERDICT = st.builds(
+    Finding, verdict=st.sampled_from(Verdict), reason=st.just("test")
+)
+
+
+@given(st.lists(STATE, min_size=1, max_size=6), st.randoms())
+def test_news_in_any_order_ends_in_the_same_phase(states, rng):
+    def settled(order):
+        known = None
+        for state in order:
+            if wins(state, known):
+                known = state
+        return (known.phase, known.number)
+
+    shuffled = list(states)
+    rng.shuffle(shuffled)
+    assert settled(states) == settled(shuffled)
+
+
+@given(st.lists(st.tuples(VERDICT, st.floats(0.1, 30)), max_size=80))
+def test_every_move_ends_by_its_deadline(rounds):
+    one = move(deadline=300.0)
+    state = None
+    now = 0.0
+    held_since = 0.0
+    for finding, wait_s in rounds:
+        now += wait_s
+        share = new_part(one, state, now)
+        decided = decide(
+            one, state, finding, held_s=now - held_since, wall_s=now, fence=1
+        )
+        if decided is None:
+            continue
+        assert wins(decided, state)
+        if decided.phase is Phase.RUNNING:
+            assert decided.share <= max(share + one.step, one.cap) + 1e-9
+        state = decided
+        held_since = now
+    if now >= one.deadline - COMMIT_MARGIN_S and rounds:
+        assert state.phase is not Phase.RUNNING
+
+
+def test_daemon_that_hears_nothing_goes_back_at_the_deadline():
+    one = move(deadline=300.0)
+    running = MoveState(Phase.RUNNING, 3, "m1", 0.4)
+    assert new_part(one, running, 299.9) == 0.4
+    assert new_part(one, running, 300.0) == 0.0
+    done = MoveState(Phase.COMPLETED, 4, "m1", 1.0)
+    assert new_part(one, done, 301.0) == 1.0
+
+
+def test_bad_version_is_taken_back_also_after_completion():
+    done = MoveState(Phase.COMPLETED, 4, "m1", 1.0)
+    bad = Finding(verdict=Verdict.BAD, reason="test")
+    decided = decide(move(), done, bad, held_s=0, wall_s=0, fence=1)
+    assert decided.phase is Phase.TAKEN_BACK
+
+
+class Service:
+    """Exchanges of two versions with chosen latencies and faults."""
+
+    def __init__(self, *, seed):
+        """Starts without faults."""
+        self.random = random.Random(seed)
+        self.latency_s = {"v1": 0.02, "v2": 0.02}
+        self.failure = {"v1": 0.002, "v2": 0.002}
+
+    def second(self, *, old, new, route="/"):
+        return [
+            self._tally("v1", old, route),
+            self._tally("v2", new, route),
+        ]
+
+    def _tally(self, version, count, route):
+        tally = Tally(service="treaty", version=version, route=route)
+        for _ in range(count):
+            spread = self.random.lognormvariate(0, 0.5)
+            tally.add(
+                failed=self.random.random() < self.failure[version],
+                latency_s=self.latency_s[version] * spread,
+            )
+        return tally
+
+
+def judge_seconds(service, judge, seconds, *, old=95, new=5, route="/"):
+    """Returns the second at which the version was found bad, or None."""
+    for second in range(seconds):
+        judge.add(service.second(old=old, new=new, route=route))
+        if judge.find().verdict is Verdict.BAD:
+            return second
+    return None
+
+
+def make_judge():
+    return Judge(service="treaty", old="v1", new="v2")
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_good_version_is_found_good(seed):
+    service = Service(seed=seed)
+    judge = make_judge()
+    assert judge_seconds(service, judge, 60) is None
+    assert judge.find().verdict is Verdict.GOOD
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_failing_version_is_found(seed):
+    service = Service(seed=seed)
+    service.failure["v2"] = 0.3
+    assert judge_seconds(service, make_judge(), 30) is not None
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_late_fault_is_found_as_fast(seed):
+    service = Service(seed=seed)
+    judge = make_judge()
+    assert judge_seconds(service, judge, 120) is None
+    service.failure["v2"] = 0.3
+    assert judge_seconds(service, judge, 30) is not None
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_slow_version_is_found(seed):
+    service = Service(seed=seed)
+    service.latency_s["v2"] = 0.08
+    assert judge_seconds(service, make_judge(), 30) is not None
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_general_overload_is_not_the_new_versions_fault(seed):
+    service = Service(seed=seed)
+    judge = make_judge()
+    judge_seconds(service, judge, 10)
+    service.latency_s = {"v1": 0.2, "v2": 0.2}
+    service.failure = {"v1": 0.1, "v2": 0.1}
+    assert judge_seconds(service, judge, 60) is None
+
+
+def test_fault_on_one_route_is_found_among_healthy_ones():
+    service = Service(seed=1)
+    judge = make_judge()
+    found_at = None
+    for second in range(60):
+        service.failure["v2"] = 0.002
+        judge.add(service.second(old=95, new=5, route="/a"))
+        service.failure["v2"] = 0.5
+        judge.add(service.second(old=20, new=1, route="/b"))
+        if judge.find().verdict is Verdict.BAD:
+            found_at = second
+            break
+    assert found_at is not None
+    assert "/b" in judge.find().reason
+
+
+def test_thin_evidence_holds():
+    judge = make_judge()
+    judge.add(Service(seed=1).second(old=95, new=5))
+    assert judge.find().verdict is Verdict.THIN
--- /dev/null
+++ b/kingcupvane/tests/test_routing.py
@@ -0,0 +1,159 @@
+"""Tests of the choice of targets and of version shares."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from kingcupvane.request.concurrency import Observation, TargetLoad
+from kingcupvane.request.routing import (
+    ShareCounter,
+    SlotLender,
+    TargetBoard,
+    allotment,
+)
+from kingcupvane.tests.builders import configuration, target
+from kingcupvane.version.move import VersionShare
+
+ALL_OLD = {"v1": VersionShare(share=1.0, capped=False)}
+
+
+@given(
+    st.lists(
+        st.tuples(st.floats(0.01, 0.99), st.integers(1, 80), st.booleans()),
+        max_size=6,
+    )
+)
+def test_capped_version_never_exceeds_its_share(stages):
+    """At no prefix of the requests, even when the old version is full."""
+    counter = ShareCounter()
+    share_before = None
+    for share, requests, old_is_full in stages:
+        shares = {
+            "v1": VersionShare(share=1 - share, capped=False),
+            "v2": VersionShare(share=share, capped=True),
+        }
+        if share != share_before:
+            counts = {"v1": 0, "v2": 0}
+            total = 0
+        share_before = share
+        for _ in range(requests):
+            allowed = counter.choose(shares)
+            if old_is_full:
+                allowed = [name for name in allowed if name != "v1"]
+            if not allowed:
+                continue
+            total += 1
+            counter.count(allowed[0])
+            counts[allowed[0]] += 1
+            assert counts["v2"] <= share * total + 1e-9
+
+
+def test_share_is_reached():
+    counter = ShareCounter()
+    shares = {
+        "v1": VersionShare(share=0.8, capped=False),
+        "v2": VersionShare(share=0.2, capped=True),
+    }
+    picked = []
+    for _ in range(1000):
+        version = counter.choose(shares)[0]
+        counter.count(version)
+        picked.append(version)
+    assert picked.count("v2") >= 190
+
+
+@given(
+    st.integers(1, 16),
+    st.lists(st.text("abc", min_size=1), min_size=1, max_size=9, unique=True),
+)
+def test_allotments_of_all_entries_are_the_slots(slots, names):
+    one = target("t1", slots=slots)
+    parts = [allotment(one, names, name=name) for name in names]
+    assert sum(parts) == slots
+    assert max(parts) - min(parts) <= 1
+
+
+@given(
+    st.lists(
+        st.tuples(st.sampled_from("abc"), st.integers(0, 5), st.floats(0, 3)),
+        max_size=30,
+    )
+)
+def test_lender_never_lends_more_than_it_has(requests):
+    lender = SlotLender()
+    slots = 4
+    now = 0.0
+    for borrower, wanted, wait_s in requests:
+        now += wait_s
+        spare = slots - lender.lent("t1", now)
+        lender.lend(
+            target="t1",
+            borrower=borrower,
+            wanted=wanted,
+            spare=spare,
+            now=now,
+            ttl_s=2.0,
+        )
+        assert lender.lent("t1", now) <= slots - 1
+
+
+def board_of(current, now=0.0, seed=1):
+    board = TargetBoard(name="e1", data_centre="dc-a", seed=seed)
+    board.update(current, ["e1"], now)
+    return board
+
+
+def choose(board, current, now=0.0, exclude=frozenset()):
+    return board.choose("treaty", current, ALL_OLD, exclude=exclude, now=now)
+
+
+def test_leaving_target_gets_nothing():
+    current = configuration(targets=(target("t1", state="leaving"),))
+    assert choose(board_of(current), current) is None
+
+
+def test_far_target_gets_nothing_without_a_loan():
+    current = configuration(targets=(target("t1", data_centre="dc-b"),))
+    board = board_of(current)
+    assert choose(board, current) is None
+    board.borrow("t1", "e2", 1, until=2.0)
+    board.update(current, ["e1"], 0.0)
+    assert choose(board, current).name == "t1"
+    board.update(current, ["e1"], 2.0)
+    assert choose(board, current, now=2.0) is None
+
+
+def test_ejected_target_is_tried_again_with_one_request():
+    load = TargetLoad(slots=4)
+    load.allotment = 4
+    load.start()
+    load.finish(Observation.UNREACHABLE, latency_s=0.01, now=0.0)
+    assert not load.is_free(0.5)
+    assert load.is_free(1.1)
+    load.start()
+    assert not load.is_free(1.1)
+    load.finish(Observation.SUCCESS, latency_s=0.01, now=1.2)
+    assert load.is_free(1.2)
+
+
+def test_limit_grows_while_fast_and_shrinks_when_slow():
+    load = TargetLoad(slots=8)
+    load.allotment = 8
+    for _ in range(60):
+        for _ in range(load.capacity()):
+            load.start()
+        while load.in_flight:
+            load.finish(Observation.SUCCESS, latency_s=0.01, now=0.0)
+    assert load.capacity() == 8
+    for _ in range(30):
+        load.start()
+        load.finish(Observation.SUCCESS, latency_s=0.2, now=0.0)
+    assert load.capacity() <= 2
+
+
+def test_shedding_target_is_left_alone_for_a_moment():
+    load = TargetLoad(slots=4)
+    load.allotment = 4
+    load.start()
+    load.finish(Observation.SHED, latency_s=0.0, now=5.0)
+    assert not load.is_free(5.1)
+    assert load.is_free(5.3)
--- /dev/null
+++ b/kingcupvane/tests/test_timeline.py
@@ -0,0 +1,29 @@
+"""Tests of the time line and its clocks."""
+
+from kingcupvane.connection.messages import Stamp
+from kingcupvane.process.timeline import HybridClock, Timeline, merged, render
+
+
+def test_hybrid_clock_orders_causes_before_effects(clock):
+    sender = HybridClock(clock=clock)
+    clock.advance(5)
+    sent = sender.tick()
+    clock.advance(-5)
+    receiver = HybridClock(clock=clock)
+    receiver.receive(sent)
+    assert receiver.tick() > sent
+
+
+def test_timeline_is_bounded_and_merges(clock):
+    first = Timeline(process="a", clock=HybridClock(clock=clock), capacity=2)
+    second = Timeline(process="b", clock=HybridClock(clock=clock), capacity=9)
+    for number in range(3):
+        first.record("one", number=number, why="two words")
+        clock.advance(0.01)
+        second.record("two", number=number)
+        clock.advance(0.01)
+    assert first.dropped == 1
+    events = list(merged([first.since(Stamp()), second.since(Stamp())]))
+    assert events == sorted(events)
+    assert len(events) == 5
+    assert 'why="two words"' in render(events[1])
--- a/kingcupvane/version/judge.py
+++ b/kingcupvane/version/judge.py
@@ -27,7 +27,7 @@
 SAMPLES_MIN = 30
 ROUTE_SAMPLES_MIN = 5
 REFERENCE_MIN = 20
-REFERENCE_KEEP = 0.95
+REFERENCE_WINDOW = 150
 
 
 class Tally(msgspec.Struct, kw_only=True):
@@ -109,17 +109,23 @@
 
 @dataclass(kw_only=True, slots=True)
 class _Reference:
-    """Recent exchanges of the old version; older ones weigh less."""
+    """The latest exchanges of the old version, a bounded number of them.
+
+    A number and not a time: when load changes for all, the reference must
+    follow as fast as the old version's traffic shows it.
+    """
 
     count: float = 0.0
     failed: float = 0.0
     latencies: list[float] = field(default_factory=lambda: [0.0] * BUCKET_COUNT)
 
     def add(self, tally: Tally) -> None:
-        self.count = self.count * REFERENCE_KEEP + tally.count
-        self.failed = self.failed * REFERENCE_KEEP + tally.failed
+        room = max(0.0, REFERENCE_WINDOW - tally.count)
+        keep = min(1.0, room / self.count) if self.count else 0.0
+        self.count = self.count * keep + tally.count
+        self.failed = self.failed * keep + tally.failed
         pairs = zip(self.latencies, tally.latencies, strict=True)
-        self.latencies = [a * REFERENCE_KEEP + b for a, b in pairs]
+        self.latencies = [a * keep + b for a, b in pairs]
 
     def failure_rate(self) -> float:
         if not self.count:
