--- a/kingcupvane/process/entry.py
+++ b/kingcupvane/process/entry.py
@@ -1,7 +1,7 @@
 """The entry daemon: everything that lives as long as its process."""
 
 import signal
-from collections.abc import Mapping
+from collections.abc import Awaitable, Callable, Iterator, Mapping
 
 import trio
 from result import Ok
@@ -25,6 +25,7 @@
 from kingcupvane.process.role import Role
 from kingcupvane.process.sharing import ShareTask
 from kingcupvane.process.store import HttpStore
+from kingcupvane.process.supervisor import supervise
 from kingcupvane.process.timeline import HybridClock, Timeline
 from kingcupvane.request.admission import Admission
 from kingcupvane.request.dispatch import Dispatcher
@@ -49,6 +50,8 @@
 DRAIN_POLL_S = 0.05
 DRAIN_MAX_S = 60.0
 
+ControlTask = Callable[[], Awaitable[None]]
+
 
 class EntryDaemon:
     """Wires the parts of an entry together and runs their tasks."""
@@ -279,24 +282,30 @@
         await self._close()
 
     def _start_tasks(self, nursery: trio.Nursery) -> None:
-        nursery.start_soon(self._fetch_first)
-        nursery.start_soon(self._gossip.run)
-        nursery.start_soon(
-            relay.drive_role, self._relay_role, self._is_relay_candidate
-        )
-        nursery.start_soon(
-            relay.drive_role, self._judge_role, self._relay_role.holds
-        )
-        nursery.start_soon(self._relay.run)
-        nursery.start_soon(self._mover.run)
-        nursery.start_soon(self._sharing.run)
-        nursery.start_soon(self._borrower.run)
-        nursery.start_soon(self._watch_board)
-        nursery.start_soon(self._watch_vms)
+        for name, task in self._control_tasks():
+            nursery.start_soon(supervise, name, task, self._timeline)
         nursery.start_soon(self._serve_callers)
         if self._settings.metrics_address:
             nursery.start_soon(self._serve_metrics)
 
+    def _control_tasks(self) -> Iterator[tuple[str, ControlTask]]:
+        yield "fetch", self._fetch_first
+        yield "gossip", self._gossip.run
+        yield "relay-role", self._drive_relay_role
+        yield "judge-role", self._drive_judge_role
+        yield "relay", self._relay.run
+        yield "mover", self._mover.run
+        yield "sharing", self._sharing.run
+        yield "borrower", self._borrower.run
+        yield "board", self._watch_board
+        yield "vm-list", self._watch_vms
+
+    async def _drive_relay_role(self) -> None:
+        await relay.drive_role(self._relay_role, self._is_relay_candidate)
+
+    async def _drive_judge_role(self) -> None:
+        await relay.drive_role(self._judge_role, self._relay_role.holds)
+
     async def _fetch_first(self) -> None:
         while self._replica.current.revision == 0:
             await relay.fetch_once(self._store, self._replica)
--- /dev/null
+++ b/kingcupvane/tests/scenario.py
@@ -0,0 +1,476 @@
+"""The scenario language: one statement a line, run against real processes."""
+
+import operator
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import httpcore
+import lark
+import msgspec
+
+from kingcupvane.request.authentication import hash_key
+from kingcupvane.standin.fleet import EntrySpec, Fleet, TargetSpec
+from kingcupvane.standin.store import Fault
+from kingcupvane.standin.target import TargetFault
+from kingcupvane.tests.caller import (
+    Load,
+    Reply,
+    call,
+    order_headers,
+)
+
+GRAMMAR = Path(__file__).with_name("scenario.lark").read_text()
+PARSER = lark.Lark(
+    GRAMMAR, parser="earley", maybe_placeholders=True, propagate_positions=True
+)
+COMPARISONS = {"=": operator.eq, "<=": operator.le, ">=": operator.ge}
+RATE = 400.0
+BURST = 400.0
+POLL_S = 0.2
+READY_S = 4.5
+LOOKUP_TTL_S = 1.0
+STATEMENTS: dict[str, Callable] = {}
+SUBJECTS: dict[str, Callable] = {}
+
+
+class ScenarioError(AssertionError):
+    """A statement of a scenario did not hold."""
+
+
+def statement(name: str) -> Callable:
+    """Registers the function that runs a statement of the language."""
+
+    def register(function: Callable) -> Callable:
+        STATEMENTS[name] = function
+        return function
+
+    return register
+
+
+def subject(name: str) -> Callable:
+    """Registers the function that returns what a check compares."""
+
+    def register(function: Callable) -> Callable:
+        SUBJECTS[name] = function
+        return function
+
+    return register
+
+
+@dataclass(kw_only=True)
+class Scenario:
+    """A running scenario.
+
+    Attributes:
+        fleet: The processes.
+        keys_by_name: Keys of callers.
+        load: The load that runs or ran last.
+        orders_by_name: Idempotency keys.
+    """
+
+    fleet: Fleet
+    keys_by_name: dict[str, str] = field(default_factory=dict)
+    load: Load | None = None
+    orders_by_name: dict[str, str] = field(default_factory=dict)
+    exits_by_name: dict[str, int] = field(default_factory=dict)
+    pool: httpcore.ConnectionPool = field(
+        default_factory=httpcore.ConnectionPool
+    )
+    changes: int = 0
+
+    def run(self, text: str) -> None:
+        """Runs all statements of a scenario.
+
+        Raises:
+            ScenarioError: A statement did not hold.
+        """
+        for line in PARSER.parse(text + "\n").children:
+            tree = line.children[0]
+            try:
+                self.execute(tree)
+            except ScenarioError as error:
+                raise ScenarioError(
+                    f"line {line.meta.line}: {error}"
+                ) from error
+
+    def execute(self, tree: lark.Tree) -> None:
+        """Runs one statement."""
+        STATEMENTS[tree.data](self, *tree.children)
+
+    def url(self, entry: str) -> str:
+        """Returns the start of an entry's URL."""
+        return f"http://{self.fleet.members_by_name[entry].address}"
+
+    def apply(self, text: str) -> None:
+        """Applies a release note."""
+        self.changes += 1
+        done = self.fleet.apply(f'change_id = "c{self.changes}"\n{text}')
+        if done.returncode not in (0, 3):
+            raise ScenarioError(f"note refused: {done.stderr}{done.stdout}")
+
+
+def table(kind: str, **values: object) -> str:
+    """Returns an item of a release note as TOML."""
+    lines = [f"[[{kind}]]"]
+    for name, value in values.items():
+        lines.append(f"{name} = {msgspec.json.encode(value).decode()}")
+    return "\n".join(lines) + "\n"
+
+
+@statement("fleet")
+def start_fleet(run: Scenario, centres, entries, targets) -> None:
+    """Starts store, entries and targets, and applies the base note."""
+    fleet = run.fleet
+    fleet.add_store()
+    fleet.wait_ready()
+    for centre in range(int(centres)):
+        letter = "abcdef"[centre]
+        place = {"region": f"r{centre // 2 + 1}", "data_centre": f"dc-{letter}"}
+        for number in range(1, int(entries) + 1):
+            fleet.add_entry(
+                EntrySpec(name=f"e-{letter}{number}", **place),
+                lookup={"ttl_s": LOOKUP_TTL_S},
+            )
+        for number in range(1, int(targets) + 1):
+            name = f"t-{letter}{number}"
+            fleet.add_target(TargetSpec(name=name, service="treaty", **place))
+    fleet.wait_ready()
+    run.keys_by_name["k1"] = "k1_first-secret"
+    run.keys_by_name["k2"] = "k2_second-secret"
+    run.apply(base_note(run))
+    time.sleep(READY_S)
+
+
+def base_note(run: Scenario) -> str:
+    """Returns the release note that a scenario starts from."""
+    parts = [
+        table(
+            "add.entries",
+            name=e.name,
+            region=e.region,
+            data_centre=e.data_centre,
+            caller_address=e.caller_address,
+            peer_address=e.peer_address,
+        )
+        for e in run.fleet.entries
+    ]
+    parts.append(
+        '[[add.services]]\nname = "treaty"\n'
+        'routes = [{ prefix = "/book", at_most_once = true }]\n'
+    )
+    parts.append(table("add.versions", name="v1", service="treaty"))
+    parts.append(table("add.versions", name="v2", service="treaty", share=0.0))
+    parts.append(table("add.accounts", name="acme", rate=RATE, burst=BURST))
+    parts.append(table("add.accounts", name="small", rate=20.0, burst=20.0))
+    for name, account in (("k1", "acme"), ("k2", "small")):
+        digest = hash_key(run.keys_by_name[name])
+        parts.append(
+            table("add.keys", name=name, account=account, sha256=digest)
+        )
+    parts.extend(target_table(spec) for spec in run.fleet.targets)
+    return "".join(parts)
+
+
+def target_table(spec: TargetSpec, kind: str = "add", **values: object) -> str:
+    """Returns a target's item of a release note."""
+    fields = {
+        "name": spec.name,
+        "service": spec.service,
+        "version": spec.version,
+        "region": spec.region,
+        "data_centre": spec.data_centre,
+        "address": spec.address,
+        "slots": spec.slots,
+    }
+    return table(f"{kind}.targets", **{**fields, **values})
+
+
+@statement("send")
+def send(run: Scenario, method, path, entry, who, expect) -> None:
+    """Sends a request and compares its answer."""
+    key = run.keys_by_name[str(who.children[0]) if who else "k1"]
+    url = run.url(entry) + path
+    expect_reply(call(run.pool, method, url, key=key), expect)
+
+
+def expect_reply(reply: Reply, expect) -> None:
+    """Compares a reply with what a statement expects."""
+    if expect is None:
+        return
+    wanted, executed = expect.children
+    if str(wanted) not in (str(reply.status), reply.reason):
+        raise ScenarioError(f"expected {wanted}, got {reply}")
+    if executed is not None and str(executed) != reply.executed:
+        raise ScenarioError(f"expected executed {executed}, got {reply}")
+
+
+@statement("order")
+def order(run: Scenario, name, entry, attempt, body, expect) -> None:
+    """Sends an order; an order of the same name is its repeat."""
+    import uuid6
+
+    key = run.orders_by_name.setdefault(str(name), str(uuid6.uuid7()))
+    count = int(attempt.children[0]) if attempt else 1
+    content = str(body.children[0]) if body else "content"
+    with httpcore.ConnectionPool() as pool:
+        reply = call(
+            pool,
+            "POST",
+            run.url(entry) + "/treaty/book",
+            key=run.keys_by_name["k1"],
+            headers=order_headers(key, attempt=count),
+            body=content.encode(),
+        )
+    expect_reply(reply, expect)
+
+
+@statement("join")
+def start_order(run: Scenario, tree) -> None:
+    """Starts an order and goes on without its answer."""
+    thread = threading.Thread(target=run.execute, args=(tree,), daemon=True)
+    thread.start()
+
+
+@statement("load")
+def start_load(run: Scenario, rate, kind, *entries) -> None:
+    """Starts steady load at some entries."""
+    run.load = Load(
+        urls=[run.url(str(entry)) for entry in entries],
+        key=run.keys_by_name["k1"],
+        rate=float(rate),
+        kind=str(kind),
+    )
+    run.load.start()
+
+
+@statement("stop_load")
+def stop_load(run: Scenario) -> None:
+    """Stops the load."""
+    run.load.stop()
+
+
+@statement("operate")
+def operate(run: Scenario, operation, name) -> None:
+    """Kills, freezes, cuts or stops a process, or undoes it."""
+    if operation == "terminate":
+        run.exits_by_name[str(name)] = run.fleet.stop(str(name))
+    else:
+        getattr(run.fleet, str(operation))(str(name))
+
+
+@statement("fault")
+def fault(run: Scenario, name, field_name, value) -> None:
+    """Makes a target misbehave."""
+    number = float(value)
+    kind = TargetFault.__annotations__[str(field_name)]
+    values = {str(field_name): kind(number)}
+    run.fleet.control(str(name), "fault", TargetFault(**values))
+
+
+@statement("store_fault")
+def store_fault(run: Scenario, word, value) -> None:
+    """Makes the store misbehave, or ends that."""
+    number = float(value or 0)
+    faults = {
+        "down": Fault(down=True),
+        "up": Fault(),
+        "slow": Fault(delay_s=number),
+        "loses": Fault(lose_share=number),
+    }
+    run.fleet.control("store", "fault", faults[str(word)])
+
+
+@statement("note")
+def note(run: Scenario, kind, name, value) -> None:
+    """Applies a small release note."""
+    NOTES[str(kind)](run, str(name), float(value or 0))
+
+
+def _withdraw_key(run: Scenario, name: str, _: float) -> None:
+    run.apply(f'[withdraw]\nkeys = ["{name}"]\n')
+
+
+def _leave_target(run: Scenario, name: str, _: float) -> None:
+    spec = next(t for t in run.fleet.targets if t.name == name)
+    run.apply(target_table(spec, "change", state="leaving"))
+
+
+def _add_account(run: Scenario, name: str, rate: float) -> None:
+    run.apply(table("add.accounts", name=name, rate=rate or 1.0, burst=10.0))
+
+
+def _add_target(run: Scenario, name: str, _: float) -> None:
+    letter = name.split("-")[1][0]
+    spec = TargetSpec(
+        name=name,
+        service="treaty",
+        version="v2",
+        region="r1",
+        data_centre=f"dc-{letter}",
+    )
+    run.fleet.add_target(spec)
+    run.fleet.wait_ready([name])
+    run.apply(target_table(spec))
+
+
+def _move(run: Scenario, name: str, seconds: float) -> None:
+    run.apply(
+        table(
+            "add.moves",
+            name=name,
+            service="treaty",
+            old="v1",
+            new="v2",
+            cap=0.1,
+            step=0.3,
+            hold_s=1.0,
+            deadline=time.time() + seconds,
+        )
+    )
+
+
+NOTES = {
+    "withdraw-key": _withdraw_key,
+    "leave-target": _leave_target,
+    "add-account": _add_account,
+    "add-target": _add_target,
+    "move": _move,
+}
+
+
+@statement("wait")
+def wait(run: Scenario, seconds) -> None:
+    """Lets time pass."""
+    del run
+    time.sleep(float(seconds))
+
+
+@statement("check")
+def check(run: Scenario, what, comparison, value) -> None:
+    """Compares something with a number."""
+    found = SUBJECTS[what.data](run, *what.children)
+    if not COMPARISONS[str(comparison)](found, float(value)):
+        words = " ".join(str(child) for child in what.children)
+        raise ScenarioError(
+            f"{what.data} {words}: {found}, expected {comparison} {value};"
+            f" load {dict(run.load.replies) if run.load else None}"
+        )
+
+
+@statement("eventually")
+def eventually(run: Scenario, seconds, tree) -> None:
+    """Tries a statement again until it holds."""
+    ends_at = time.monotonic() + float(seconds)
+    while True:
+        try:
+            run.execute(tree)
+            return
+        except ScenarioError:
+            if time.monotonic() >= ends_at:
+                raise
+        time.sleep(POLL_S)
+
+
+@subject("runs")
+def runs(run: Scenario, name) -> int:
+    """Returns how often an order ran."""
+    return run.fleet.runs(run.orders_by_name[str(name)])
+
+
+@subject("load_count")
+def load_count(run: Scenario, reason) -> int:
+    """Returns how many requests of the load ended for a reason."""
+    if reason == "total":
+        return run.load.replies.total()
+    return run.load.replies[str(reason)]
+
+
+@subject("order_count")
+def order_count(run: Scenario, kind) -> int:
+    """Returns how many orders of the load are of a kind."""
+    replies = run.load.order_replies
+    counts = {key: run.fleet.runs(key) for key in replies}
+    kinds = {
+        "twice": [k for k, n in counts.items() if n > 1],
+        "lost": [
+            k for k, r in replies.items() if r.reason == "ok" and counts[k] == 0
+        ],
+        "false-no": [
+            k
+            for k, r in replies.items()
+            if r.executed == "no" and counts[k] > 0
+        ],
+        "run": [k for k, n in counts.items() if n == 1],
+    }
+    return len(kinds[str(kind)])
+
+
+@subject("events")
+def events(run: Scenario, kind) -> int:
+    """Returns how often an event stands on the time line."""
+    done = run.fleet.command("timeline", str(run.fleet.operator_file()))
+    return done.stdout.count(f"event={kind}")
+
+
+@subject("leaked")
+def leaked(run: Scenario) -> int:
+    """Returns how many requests reached targets with a key."""
+    return sum(report["leaked"] for report in reports(run))
+
+
+def reports(run: Scenario) -> list[dict]:
+    """Returns what the targets that are reached have done."""
+    found = []
+    for spec in run.fleet.targets:
+        try:
+            raw = run.fleet.control(spec.name, "report")
+        except httpcore.NetworkError:
+            continue
+        found.append(msgspec.json.decode(raw))
+    return found
+
+
+@subject("excess")
+def excess(run: Scenario) -> float:
+    """Returns by how much the account was above its burst and rate."""
+    arrivals = sorted(
+        moment
+        for report in reports(run)
+        for moment in report["arrivals_by_account"].get("acme", [])
+    )
+    tokens, lowest, before = BURST, BURST, 0.0
+    for moment in arrivals:
+        tokens = min(BURST, tokens + (moment - before) * RATE) - 1
+        before = moment
+        lowest = min(lowest, tokens)
+    return max(0.0, -lowest)
+
+
+@subject("share")
+def share(run: Scenario, version) -> float:
+    """Returns a version's part of all requests that targets served, in %."""
+    served = {"v1": 0, "v2": 0}
+    for spec in run.fleet.targets:
+        raw = run.fleet.control(spec.name, "report")
+        counts = msgspec.json.decode(raw)["served_by_account"]
+        served[spec.version] += sum(counts.values())
+    return 100.0 * served[str(version)] / max(1, sum(served.values()))
+
+
+@subject("revision")
+def revision(run: Scenario, entry) -> int:
+    """Returns the configuration revision in force at an entry."""
+    done = run.fleet.command("status", str(run.fleet.operator_file()))
+    for line in done.stdout.splitlines():
+        if line.startswith(f"{entry} in"):
+            return int(line.partition("revision ")[2].split()[0])
+    return -1
+
+
+@subject("exit_status")
+def exit_status(run: Scenario, name) -> int:
+    """Returns the exit status of a process that was stopped."""
+    return run.exits_by_name[str(name)]
--- a/kingcupvane/tests/test_move.py
+++ b/kingcupvane/tests/test_move.py
@@ -164,6 +164,26 @@
     assert judge_seconds(service, judge, 60) is None
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_loaded_good_version_stays_when_the_old_one_falls_idle(seed):
+    """Carrying all the traffic slows it a little; nothing to compare with."""
+    service = Service(seed=seed)
+    judge = make_judge()
+    judge_seconds(service, judge, 10)
+    service.latency_s["v2"] = 0.03
+    assert judge_seconds(service, judge, 20, old=5, new=95) is None
+    assert judge_seconds(service, judge, 60, old=0, new=100) is None
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_slow_version_with_most_of_the_traffic_is_found(seed):
+    service = Service(seed=seed)
+    judge = make_judge()
+    judge_seconds(service, judge, 10)
+    service.latency_s["v2"] = 0.1
+    assert judge_seconds(service, judge, 30, old=5, new=95) is not None
+
+
 def test_fault_on_one_route_is_found_among_healthy_ones():
     service = Service(seed=1)
     judge = make_judge()
--- a/kingcupvane/version/move.py
+++ b/kingcupvane/version/move.py
@@ -16,6 +16,7 @@
 
 STORE_PREFIX = "live/moves/"
 COMMIT_MARGIN_S = 12.0
+RUNNING_SHARE_MAX = 0.95
 
 
 class Phase(enum.IntEnum):
@@ -171,7 +172,7 @@
     if finding.verdict is Verdict.THIN or held_s < move.hold_s:
         return None
     share = round(state.share + move.step, 6)
-    if state.share >= 1.0:
+    if state.share >= RUNNING_SHARE_MAX:
         return MoveState(
             Phase.COMPLETED, number, move.name, 1.0, fence, finding.reason
         )
@@ -179,7 +180,7 @@
         Phase.RUNNING,
         number,
         move.name,
-        min(1.0, share),
+        min(RUNNING_SHARE_MAX, share),
         fence,
         finding.reason,
     )
