--- a/kingcupvane/cli.py
+++ b/kingcupvane/cli.py
@@ -33,10 +33,6 @@
 
     call: Callable[[], int]
 
-    def __str__(self) -> str:
-        """Returns nothing, since fire prints what a command returns."""
-        return ""
-
 
 def _text(value: object, name: str) -> str:
     if not isinstance(value, str):
@@ -87,6 +83,18 @@
 
         return Action(call=call)
 
+    def targets(self, settings_file: str) -> Action:
+        """Runs the stand-in for several targets in one process."""
+
+        def call() -> int:
+            from kingcupvane.standin.run import run_targets
+
+            model = settings.TargetGroupStandinSettings
+            loaded = settings.load(settings_file, model)
+            return _run(lambda: run_targets(loaded))
+
+        return Action(call=call)
+
     def link(self, settings_file: str) -> Action:
         """Runs the stand-in for a network link that can be cut."""
 
@@ -153,6 +161,11 @@
         return Action(call=call)
 
 
+def _hide(result: object) -> object:
+    """Keeps fire from printing an action."""
+    return None if isinstance(result, Action) else result
+
+
 def _keep_text(words: list[str]) -> list[str]:
     """Quotes words so that fire takes them as text, never as numbers."""
     return [word if word.startswith("-") else repr(word) for word in words]
@@ -172,7 +185,10 @@
     head, rest = words[:1], words[1:]
     try:
         action = fire.Fire(
-            Commands, command=head + _keep_text(rest), name="kingcupvane"
+            Commands,
+            command=head + _keep_text(rest),
+            name="kingcupvane",
+            serialize=_hide,
         )
     except fire.core.FireExit as end:
         return end.code
--- a/kingcupvane/process/sharing.py
+++ b/kingcupvane/process/sharing.py
@@ -103,4 +103,4 @@
         if lapsed != self._lapsed:
             self._lapsed = lapsed
             kind = "rate-loans-ended" if lapsed else "rate-loans-held"
-            self._timeline.record(kind, share=self._settings.loan_ttl_s)
+            self._timeline.record(kind, life_s=self._settings.loan_ttl_s)
--- a/kingcupvane/settings.py
+++ b/kingcupvane/settings.py
@@ -325,6 +325,14 @@
     )
 
 
+class TargetGroupStandinSettings(BorderModel):
+    """Settings of one process that stands in for several targets."""
+
+    targets: tuple[TargetStandinSettings, ...] = Field(
+        description="The targets."
+    )
+
+
 class LinkStandinSettings(BorderModel):
     """Settings of the stand-in for a network link, which can be cut."""
 
@@ -417,6 +425,7 @@
     OperatorSettings,
     StoreStandinSettings,
     TargetStandinSettings,
+    TargetGroupStandinSettings,
     LinkStandinSettings,
 )
 
--- a/kingcupvane/standin/run.py
+++ b/kingcupvane/standin/run.py
@@ -7,6 +7,7 @@
 from kingcupvane.settings import (
     LinkStandinSettings,
     StoreStandinSettings,
+    TargetGroupStandinSettings,
     TargetStandinSettings,
 )
 from kingcupvane.standin.link import Link
@@ -24,16 +25,23 @@
     await _run_until_signal(TargetServer(settings=settings))
 
 
+async def run_targets(settings: TargetGroupStandinSettings) -> None:
+    """Runs the stand-in for several targets."""
+    servers = [TargetServer(settings=one) for one in settings.targets]
+    await _run_until_signal(*servers)
+
+
 async def run_link(settings: LinkStandinSettings) -> None:
     """Runs the stand-in for a network link."""
     await Link(settings=settings).run()
 
 
-async def _run_until_signal(server: StoreServer | TargetServer) -> None:
+async def _run_until_signal(*servers: StoreServer | TargetServer) -> None:
     stop = trio.Event()
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(server.run, stop)
+            for server in servers:
+                nursery.start_soon(server.run, stop)
             async for _ in signals:
                 break
             stop.set()
--- a/kingcupvane/tests/test_move.py
+++ b/kingcupvane/tests/test_move.py
@@ -64,7 +64,7 @@
             assert decided.share <= max(share + one.step, one.cap) + 1e-9
         state = decided
         held_since = now
-    if now >= one.deadline - COMMIT_MARGIN_S and rounds:
+    if now >= one.deadline_s - COMMIT_MARGIN_S and rounds:
         assert state.phase is not Phase.RUNNING
 
 
--- /dev/null
+++ b/kingcupvane/tests/test_samples.py
@@ -0,0 +1,55 @@
+"""Tests of the samples: they are whole, and made by their builder."""
+
+import importlib.util
+from pathlib import Path
+
+import pytest
+from result import Ok
+
+from kingcupvane import settings
+from kingcupvane.version.configuration import (
+    Configuration,
+    ReleaseNote,
+    merge,
+)
+
+SAMPLES = Path(__file__).parents[2] / "samples"
+USERS = ("rheinfall", "guild")
+
+
+def builder():
+    spec = importlib.util.spec_from_file_location("build", SAMPLES / "build.py")
+    module = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    return module
+
+
+def test_samples_are_as_built(tmp_path):
+    builder().build(tmp_path)
+    for user in USERS:
+        built = sorted((tmp_path / user).rglob("*.*"))
+        assert built
+        for path in built:
+            kept = SAMPLES / path.relative_to(tmp_path)
+            assert kept.read_text() == path.read_text()
+
+
+@pytest.mark.parametrize("user", USERS)
+def test_settings_and_notes_are_valid(user):
+    folder = SAMPLES / user
+    settings.load(str(folder / "store.toml"), settings.StoreStandinSettings)
+    settings.load(str(folder / "operator.toml"), settings.OperatorSettings)
+    for path in (folder / "entries").iterdir():
+        settings.load(str(path), settings.EntrySettings)
+    model = settings.TargetGroupStandinSettings
+    targets = settings.load(str(folder / "targets.toml"), model)
+    current = Configuration()
+    for name in ("base", "withdraw-key"):
+        note = settings.load(str(folder / f"notes/{name}.toml"), ReleaseNote)
+        merged = merge(current, note)
+        assert isinstance(merged, Ok), merged
+        current = merged.ok_value
+    listed = {target.name for target in current.items.targets}
+    assert listed == {target.name for target in targets.targets}
+    assert len(current.items.entries) == 9
+    assert len(current.items.accounts) == 8
--- a/kingcupvane/version/items.py
+++ b/kingcupvane/version/items.py
@@ -2,7 +2,7 @@
 
 from typing import Annotated, ClassVar
 
-from pydantic import AfterValidator, Field
+from pydantic import AfterValidator, AwareDatetime, Field
 
 from kingcupvane.settings import Address, BorderModel, Name
 
@@ -99,6 +99,7 @@
     """A version of a service, and the traffic it may get.
 
     Attributes:
+        name: Name of the version, unique over all services.
         share: Part of the service's traffic, 0 to 1.
     """
 
@@ -116,7 +117,7 @@
             good, 0 to 1.
         step: Largest growth of the share at a time, 0 to 1.
         hold_s: Shortest time between two steps, in seconds.
-        deadline: Unix seconds by which the move is done or taken back.
+        deadline: When the move is done or taken back, with a time zone.
     """
 
     KIND: ClassVar[str] = "moves"
@@ -127,7 +128,12 @@
     cap: float = Field(0.05, gt=0, le=1)
     step: float = Field(0.2, gt=0, le=1)
     hold_s: float = Field(5.0, gt=0)
-    deadline: float = Field(gt=0)
+    deadline: AwareDatetime
+
+    @property
+    def deadline_s(self) -> float:
+        """The deadline in Unix seconds."""
+        return self.deadline.timestamp()
 
 
 ITEM_MODELS: tuple[type[BorderModel], ...] = (
--- a/kingcupvane/version/move.py
+++ b/kingcupvane/version/move.py
@@ -83,7 +83,7 @@
             return 1.0
         case Phase.TAKEN_BACK:
             return 0.0
-    return state.share if wall_s < move.deadline else 0.0
+    return state.share if wall_s < move.deadline_s else 0.0
 
 
 def version_shares(
@@ -154,7 +154,7 @@
         fence: Fencing number of the judge.
     """
     if state is None:
-        if wall_s >= move.deadline - COMMIT_MARGIN_S:
+        if wall_s >= move.deadline_s - COMMIT_MARGIN_S:
             return _taken_back(move, 0, fence, "the deadline left no time")
         return MoveState(
             Phase.RUNNING, 1, move.name, move.cap, fence, "the move began"
@@ -166,7 +166,7 @@
         return _taken_back(move, number, fence, finding.reason)
     if state.phase is Phase.COMPLETED:
         return None
-    if wall_s >= move.deadline - COMMIT_MARGIN_S:
+    if wall_s >= move.deadline_s - COMMIT_MARGIN_S:
         why = f"not complete near the deadline: {finding.reason}"
         return _taken_back(move, number, fence, why)
     if finding.verdict is Verdict.THIN or held_s < move.hold_s:
