--- a/kingcupvane/asgi.py
+++ b/kingcupvane/asgi.py
@@ -78,6 +78,11 @@
             if message["type"] == "http.disconnect":
                 return
 
+    async def cancel_when_closed(self, scope: trio.CancelScope) -> None:
+        """Cancels a scope when the caller has closed its connection."""
+        await self.wait_closed()
+        scope.cancel()
+
 
 @dataclass(frozen=True, kw_only=True)
 class HttpResponse:
--- a/kingcupvane/process/ledger.py
+++ b/kingcupvane/process/ledger.py
@@ -114,13 +114,15 @@
             _fail(batch, lease.err_value)
             return
         uncertain = False
+        fresh = False
         while True:
-            if writer.item is None:
+            if writer.item is None or not (fresh or _changes(writer, batch)):
                 found = await self._store.get(key)
                 if isinstance(found, Err):
                     _fail(batch, found.err_value)
                     return
                 writer.item = found.ok_value
+                fresh = True
             reply = await self._swap(key, writer, batch, lease=lease.ok_value)
             match reply:
                 case Ok():
@@ -176,6 +178,16 @@
         return granted
 
 
+def _changes(writer: _Writer, batch: list[_Pending]) -> bool:
+    """Returns whether a batch changes the segment as last seen.
+
+    One that does not must be answered from the store itself: another entry
+    may have recorded an outcome since.
+    """
+    segment = _decode(writer.item)
+    return apply(segment, [pending.operation for pending in batch]).changed
+
+
 def _decode(item: Item) -> Segment:
     if not item.value:
         return Segment()
--- a/kingcupvane/request/dispatch.py
+++ b/kingcupvane/request/dispatch.py
@@ -36,6 +36,7 @@
 SERVER_ERROR_MIN = 500
 OVERLOAD_RETRY_S = 1.0
 RECHECK_S = 0.05
+DEATH_CHECKS_S = (0.0, 0.1)
 
 OBSERVATION_BY_FAILURE = {
     FailureKind.NOT_SENT: Observation.UNREACHABLE,
@@ -310,11 +311,23 @@
             )
         )
 
+    async def _has_died(self, target: Target) -> bool:
+        """Returns whether a target has stopped listening.
+
+        A dying process may close its connections before its listener, so the
+        first look is not the last.
+        """
+        for pause_s in DEATH_CHECKS_S:
+            await trio.sleep(pause_s)
+            if not await self._client.is_listening(target):
+                return True
+        return False
+
     async def _blame_request(
         self, context: RequestContext, target: Target
     ) -> bool:
         """Notes a crash; true when the target died in this exchange."""
-        if await self._client.is_listening(target):
+        if not await self._has_died(target):
             return False
         now = self._clock.now()
         if self._crashes.add(context.fingerprint, target.name, now):
--- a/kingcupvane/request/handler.py
+++ b/kingcupvane/request/handler.py
@@ -320,7 +320,8 @@
         if context.route.at_most_once:
             return await self._orders.run(context, self._configuration)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_cancel_when_closed, request, nursery)
+            scope = nursery.cancel_scope
+            nursery.start_soon(request.cancel_when_closed, scope)
             result = await self._dispatcher.run(
                 context, self._configuration, sink
             )
@@ -359,13 +360,6 @@
     return replace(context, body=body, fingerprint=print_)
 
 
-async def _cancel_when_closed(
-    request: asgi.HttpRequest, nursery: trio.Nursery
-) -> None:
-    await request.wait_closed()
-    nursery.cancel_scope.cancel()
-
-
 async def _send_answer(answer: Answer, send: asgi.Send) -> None:
     headers = [
         (name, value)
--- a/kingcupvane/request/once.py
+++ b/kingcupvane/request/once.py
@@ -39,6 +39,7 @@
 STORE_RETRY_AFTER_S = 2.0
 OUTCOME_WAIT_S = 60.0
 OUTCOME_RETRIES = 5
+CONNECT_ATTEMPTS = 3
 OUTCOME_RETRY_S = 1.0
 REPLAY_HEADER = (b"idempotency-replayed", b"true")
 
@@ -110,7 +111,7 @@
             self._spawn(segment, record_key, replace_state(record, NOT_RUN))
             return Err(_refuse_late(context))
         return await self._dispatch(
-            context, target, segment, record_key, record
+            context, configuration, target, segment, record_key, record
         )
 
     async def _create(
@@ -141,6 +142,7 @@
     async def _dispatch(
         self,
         context: RequestContext,
+        configuration: Callable[[], Configuration],
         target: Target,
         segment: str,
         key: str,
@@ -149,7 +151,14 @@
         """Runs the exchange in a task that outlives the caller."""
         inbox_send, inbox = trio.open_memory_channel[Answer | Failure](1)
         self._nursery.start_soon(
-            self._exchange, context, target, segment, key, record, inbox_send
+            self._exchange,
+            context,
+            configuration,
+            target,
+            segment,
+            key,
+            record,
+            inbox_send,
         )
         result = None
         with trio.move_on_after(context.deadline - self._clock.now()):
@@ -163,6 +172,7 @@
     async def _exchange(
         self,
         context: RequestContext,
+        configuration: Callable[[], Configuration],
         target: Target,
         segment: str,
         key: str,
@@ -175,12 +185,34 @@
         patient = replace(patient, deadline=patient.deadline + OUTCOME_WAIT_S)
         self.running += 1
         try:
-            result = await self._dispatcher.exchange(patient, target, None)
+            result = await self._exchange_once(patient, target, configuration)
             inbox.send_nowait(result)
             await self._complete(segment, key, record, result)
         finally:
             self.running -= 1
 
+    async def _exchange_once(
+        self,
+        context: RequestContext,
+        target: Target,
+        configuration: Callable[[], Configuration],
+    ) -> Answer | Failure:
+        """Sends the order to one target; to another if nothing was sent."""
+        tried: frozenset[str] = frozenset()
+        while True:
+            result = await self._dispatcher.exchange(context, target, None)
+            not_sent = (
+                isinstance(result, Failure)
+                and result.kind is FailureKind.NOT_SENT
+            )
+            tried |= {target.name}
+            if not not_sent or len(tried) >= CONNECT_ATTEMPTS:
+                return result
+            placed = await self._dispatcher.place(context, configuration, tried)
+            if isinstance(placed, Err):
+                return result
+            target = placed.ok_value
+
     async def _complete(
         self,
         segment: str,
--- a/kingcupvane/standin/fleet.py
+++ b/kingcupvane/standin/fleet.py
@@ -9,6 +9,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -22,6 +23,9 @@
 STOP_TIMEOUT_S = 40.0
 POLL_S = 0.05
 
+_USED_PORTS: set[int] = set()
+_PORTS_LOCK = threading.Lock()
+
 
 @dataclass(kw_only=True)
 class Member:
@@ -70,10 +74,15 @@
 
 
 def free_address() -> str:
-    """Returns a loopback address with a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return f"{HOST}:{probe.getsockname()[1]}"
+    """Returns a loopback address that no fleet of this process has used."""
+    with _PORTS_LOCK:
+        while True:
+            with socket.socket() as probe:
+                probe.bind((HOST, 0))
+                port = probe.getsockname()[1]
+            if port not in _USED_PORTS:
+                _USED_PORTS.add(port)
+                return f"{HOST}:{port}"
 
 
 def toml_value(value: object) -> str:
--- a/kingcupvane/standin/target.py
+++ b/kingcupvane/standin/target.py
@@ -137,20 +137,16 @@
     async def _serve_or_cancel(
         self, request: asgi.HttpRequest, body: bytes, send: asgi.Send
     ) -> None:
+        served_before = self._report.served
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(
-                self._watch_caller, request, nursery.cancel_scope
-            )
+            scope = nursery.cancel_scope
+            nursery.start_soon(request.cancel_when_closed, scope)
             async with self._slots:
                 await self._execute(request, body, send)
             nursery.cancel_scope.cancel()
-
-    async def _watch_caller(
-        self, request: asgi.HttpRequest, scope: trio.CancelScope
-    ) -> None:
-        await request.wait_closed()
-        self._report.cancelled += 1
-        scope.cancel()
+            return
+        if self._report.served == served_before:
+            self._report.cancelled += 1
 
     async def _execute(
         self, request: asgi.HttpRequest, body: bytes, send: asgi.Send
@@ -167,8 +163,8 @@
             await self._stream(send)
             return
         echo = self._echo(request, body)
-        await self._send(echo, send, truncate=faulty and self._fault.truncate)
         self._report.served += 1
+        await self._send(echo, send, truncate=faulty and self._fault.truncate)
 
     def _is_faulty(self, path: str) -> bool:
         loaded = self._present > self._fault.over_load
--- a/kingcupvane/tests/test_ledger.py
+++ b/kingcupvane/tests/test_ledger.py
@@ -118,3 +118,16 @@
         assert reply.ok_value.record.status == 200
 
     run(scenario)
+
+
+def test_repeat_sees_an_outcome_that_came_after_its_last_read():
+    async def scenario(store, ledgers):
+        await ledgers[0].submit("s", create("a/1", "t1"))
+        before = await ledgers[1].submit("s", create("a/1", "t2"))
+        assert before.ok_value.record.state == "running"
+        done = OrderRecord(token="t1", state="done", status=200)
+        await ledgers[0].submit("s", Complete(key="a/1", record=done))
+        after = await ledgers[1].submit("s", create("a/1", "t3"))
+        assert after.ok_value.record.state == "done"
+
+    run(scenario)
--- a/kingcupvane/tests/test_move.py
+++ b/kingcupvane/tests/test_move.py
@@ -184,6 +184,18 @@
     assert judge_seconds(service, judge, 30, old=5, new=95) is not None
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_one_pause_is_no_fault(seed):
+    """A pause of a machine slows all answers of one round, old ones too."""
+    service = Service(seed=seed)
+    judge = make_judge()
+    judge_seconds(service, judge, 10, old=60, new=40)
+    service.latency_s = {"v1": 0.02, "v2": 0.2}
+    judge.add(service.second(old=1, new=60))
+    service.latency_s["v2"] = 0.02
+    assert judge_seconds(service, judge, 30, old=0, new=100) is None
+
+
 def test_fault_on_one_route_is_found_among_healthy_ones():
     service = Service(seed=1)
     judge = make_judge()
