Keep room for floors; segment orders by account; add the measurements

Cause: loans filled the pool, so an entry that came later never claimed its floor and refused all of its small demand. Room is now kept for the floors of configured entries.

Conclusion: grouping pays only where few entries write a segment.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: each prints a table, its command and its seed."""
--- /dev/null
+++ b/bench/orders.py
@@ -0,0 +1,104 @@
+"""Store writes for each order, and the latency that recording adds.
+
+Eight accounts of unequal size; nine in ten orders of an account come through
+its first entry, as look-up answers ask callers to do.
+"""
+
+import random
+import statistics
+import tempfile
+import time
+from pathlib import Path
+
+import trio
+import uuid6
+from result import Ok
+
+from kingcupvane.clock import SystemClock
+from kingcupvane.process.ledger import OrderLedger
+from kingcupvane.process.store import HttpStore
+from kingcupvane.request.order import (
+    DONE,
+    Complete,
+    Create,
+    OrderRecord,
+    segment_key,
+)
+from kingcupvane.settings import OrderSettings
+from kingcupvane.standin.fleet import Fleet
+
+SEED = 5
+SECONDS = 6.0
+ENTRIES = 3
+RATES = (50, 200, 500)
+ACCOUNT_WEIGHTS = (30, 25, 15, 10, 8, 6, 4, 2)
+FIRST_ENTRY_PART = 0.9
+SETTLE_S = 2.0
+
+
+async def measure(address: str, settings: OrderSettings, rate: int) -> None:
+    """Prints one line for a rate and a way of recording."""
+    rng = random.Random(SEED)
+    latencies: list[float] = []
+    failed = 0
+    stores = [HttpStore(address=address, timeout_s=1.0) for _ in range(ENTRIES)]
+
+    async def order(ledger: OrderLedger, account: str) -> None:
+        nonlocal failed
+        key = uuid6.uuid7()
+        segment = segment_key(account, key, settings=settings)
+        name = f"{account}/{key}"
+        started_at = time.monotonic()
+        record = OrderRecord(token=str(key))
+        reply = await ledger.submit(segment, Create(key=name, record=record))
+        latencies.append(time.monotonic() - started_at)
+        if not isinstance(reply, Ok):
+            failed += 1
+            return
+        done = OrderRecord(token=str(key), state=DONE, status=200)
+        await ledger.submit(segment, Complete(key=name, record=done))
+
+    async with trio.open_nursery() as nursery:
+        ledgers = [
+            OrderLedger(
+                store=store,
+                clock=SystemClock(),
+                settings=settings,
+                nursery=nursery,
+            )
+            for store in stores
+        ]
+        ends_at = time.monotonic() + SECONDS
+        count = 0
+        while time.monotonic() < ends_at:
+            await trio.sleep(rng.expovariate(rate))
+            numbers = range(len(ACCOUNT_WEIGHTS))
+            number = rng.choices(numbers, ACCOUNT_WEIGHTS)[0]
+            first = rng.random() < FIRST_ENTRY_PART
+            ledger = ledgers[(number + (0 if first else 1)) % ENTRIES]
+            nursery.start_soon(order, ledger, f"account-{number}")
+            count += 1
+        await trio.sleep(SETTLE_S)
+        nursery.cancel_scope.cancel()
+    writes = sum(ledger.writes for ledger in ledgers)
+    cuts = statistics.quantiles(latencies, n=100)
+    print(
+        f"  {rate}/s: {count} orders, {writes / count:.2f} writes/order,"
+        f" record p50 {cuts[49] * 1000:.1f} ms, p99 {cuts[98] * 1000:.1f} ms,"
+        f" refused {failed}"
+    )
+    for store in stores:
+        await store.close()
+
+
+def run() -> None:
+    """Prints both ways at each rate."""
+    print(f"seed {SEED}, {SECONDS} s, {ENTRIES} entries, 400 writes/s allowed")
+    for name, buckets in (("one record a value", 0), ("group commit", 1)):
+        print(f"{name}:")
+        for rate in RATES:
+            with Fleet(folder=Path(tempfile.mkdtemp())) as fleet:
+                fleet.add_store()
+                fleet.wait_ready()
+                settings = OrderSettings(buckets=buckets)
+                trio.run(measure, fleet.store_address, settings, rate)
--- /dev/null
+++ b/bench/overload.py
@@ -0,0 +1,220 @@
+"""Latency under load with cold, slow and lying targets, in simulated time.
+
+The project's dispatcher and board against round robin over the same targets,
+arrivals and queue. Time is trio's mock clock, so a run is repeatable.
+"""
+
+import random
+import statistics
+from dataclasses import dataclass
+
+import trio
+import trio.testing
+
+from kingcupvane.connection.target import Answer, Failure, FailureKind
+from kingcupvane.process.timeline import HybridClock, Timeline
+from kingcupvane.request.concurrency import Observation
+from kingcupvane.request.context import RequestContext
+from kingcupvane.request.dispatch import Dispatcher
+from kingcupvane.request.retry import CrashRegistry
+from kingcupvane.request.routing import TargetBoard
+from kingcupvane.settings import QueueSettings, RetrySettings
+from kingcupvane.version.configuration import Configuration, Items
+from kingcupvane.version.items import Route, Service, Target, Version
+from kingcupvane.version.move import VersionShare
+
+SEED = 3
+SECONDS = 30.0
+WARM_S = 5.0
+TARGETS = 8
+SLOTS = 4
+BACKLOG = 8
+SERVICE_S = 0.02
+COLD_FACTOR = 5.0
+COLD_S = 10.0
+SLOW_FACTOR = 4.0
+TIMEOUT_S = 2.0
+SERVICE = Service(name="s", routes=(Route(prefix="/"),))
+SHARES = {"v1": VersionShare(share=1.0, capped=False)}
+
+
+class SimulatedClock:
+    """Clocks that follow trio's mock clock."""
+
+    def now(self) -> float:
+        """Returns simulated seconds."""
+        return trio.current_time()
+
+    def wall(self) -> float:
+        """Returns simulated Unix seconds."""
+        return 1.7e9 + trio.current_time()
+
+
+class SimulatedTargets:
+    """Targets 0 is cold at first, 1 is slow, 2 takes in all and is late."""
+
+    def __init__(self, *, rng: random.Random):
+        """Starts idle."""
+        self._rng = rng
+        self._present = dict.fromkeys(range(TARGETS), 0)
+        self._slots = {n: trio.Semaphore(SLOTS) for n in range(TARGETS)}
+
+    async def exchange(self, target, outbound, sink):
+        """Serves a request as the target would."""
+        del outbound, sink
+        number = int(target.name[1:])
+        backlog = 10**6 if number == 2 else BACKLOG
+        if self._present[number] >= SLOTS + backlog:
+            return Failure(kind=FailureKind.SHED, detail="shed")
+        self._present[number] += 1
+        try:
+            async with self._slots[number]:
+                await trio.sleep(self._service_s(number))
+        finally:
+            self._present[number] -= 1
+        return Answer(status=200, headers=[], body=b"")
+
+    async def is_listening(self, target) -> bool:
+        """Returns that no target ever dies."""
+        del target
+        return True
+
+    def _service_s(self, number: int) -> float:
+        seconds = SERVICE_S * self._rng.lognormvariate(0, 0.25)
+        if number == 0 and trio.current_time() < COLD_S:
+            seconds *= COLD_FACTOR
+        if number in (1, 2):
+            seconds *= SLOW_FACTOR
+        return seconds
+
+
+class RoundRobinBoard(TargetBoard):
+    """Takes the next target in turn, whatever it is like."""
+
+    turn = 0
+
+    def choose(self, service, configuration, shares, *, exclude, now):
+        """Returns the next target."""
+        del shares, now
+        targets = configuration.targets_by_service[service]
+        left = [t for t in targets if t.name not in exclude] or targets
+        self.turn += 1
+        return left[self.turn % len(left)]
+
+    def finish(self, target, observation: Observation, *, latency_s, now):
+        """Learns nothing."""
+        del observation, latency_s, now
+        self.load(target).in_flight -= 1
+        return False
+
+
+@dataclass(kw_only=True)
+class Outcome:
+    """What callers saw."""
+
+    latencies: list[float]
+    refused: int = 0
+    late: int = 0
+
+
+def make_configuration() -> Configuration:
+    """Returns a configuration with all targets in one data centre."""
+    targets = tuple(
+        Target(
+            name=f"t{number}",
+            service="s",
+            version="v1",
+            region="r",
+            data_centre="d",
+            address="127.0.0.1:1",
+            slots=SLOTS,
+        )
+        for number in range(TARGETS)
+    )
+    return Configuration(
+        revision=1,
+        items=Items(
+            services=(SERVICE,),
+            versions=(Version(name="v1", service="s"),),
+            targets=targets,
+        ),
+    )
+
+
+async def simulate(board_type: type[TargetBoard], load: float) -> Outcome:
+    """Runs one board at a part of the healthy targets' capacity."""
+    rng = random.Random(SEED)
+    clock = SimulatedClock()
+    configuration = make_configuration()
+    board = board_type(name="e", data_centre="d", seed=SEED)
+    board.update(configuration, ["e"], clock.now())
+    dispatcher = Dispatcher(
+        board=board,
+        client=SimulatedTargets(rng=rng),
+        clock=clock,
+        timeline=Timeline(
+            process="bench", clock=HybridClock(clock=clock), capacity=64
+        ),
+        crashes=CrashRegistry(settings=RetrySettings()),
+        queue=QueueSettings(),
+        retry=RetrySettings(),
+        shares=lambda _: SHARES,
+        observe=lambda _: None,
+    )
+    healthy = (TARGETS - 2) * SLOTS / SERVICE_S
+    degraded = 2 * SLOTS / (SERVICE_S * SLOW_FACTOR)
+    rate = load * (healthy + degraded)
+    outcome = Outcome(latencies=[])
+
+    async def request(number: int) -> None:
+        started_at = clock.now()
+        context = RequestContext(
+            service=SERVICE,
+            route=SERVICE.routes[0],
+            method="GET",
+            path="/",
+            query="",
+            account=f"a{number % 4}",
+            key_name="k",
+            idempotency_key="",
+            attempt="1",
+            deadline=started_at + TIMEOUT_S,
+            fingerprint=str(number),
+        )
+        result = await dispatcher.run(context, lambda: configuration, None)
+        if started_at < WARM_S:
+            return
+        if result.is_ok():
+            outcome.latencies.append(clock.now() - started_at)
+        elif result.err_value.status == 504:
+            outcome.late += 1
+        else:
+            outcome.refused += 1
+
+    async with trio.open_nursery() as nursery:
+        number = 0
+        while clock.now() < SECONDS:
+            await trio.sleep(rng.expovariate(rate))
+            number += 1
+            nursery.start_soon(request, number)
+    return outcome
+
+
+def run() -> None:
+    """Prints both boards at each load."""
+    print(
+        f"seed {SEED}, {SECONDS} s simulated, {TARGETS} targets of {SLOTS}"
+        " slots: one cold, one slow, one slow that never sheds"
+    )
+    for load in (0.5, 0.9, 1.5):
+        for board_type in (RoundRobinBoard, TargetBoard):
+            mock = trio.testing.MockClock(autojump_threshold=0)
+            outcome = trio.run(simulate, board_type, load, clock=mock)
+            cuts = statistics.quantiles(outcome.latencies, n=100)
+            total = len(outcome.latencies) + outcome.refused + outcome.late
+            print(
+                f"  {load:.0%} {board_type.__name__}: answered"
+                f" {len(outcome.latencies) / total:.1%}, p50"
+                f" {cuts[49] * 1000:.0f} ms, p99 {cuts[98] * 1000:.0f} ms,"
+                f" refused {outcome.refused}, past deadline {outcome.late}"
+            )
--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,252 @@
+"""Slopes of one daemon's cost: look-ups, requests, client blocks, messages."""
+
+import random
+import resource
+import tempfile
+import time
+import tracemalloc
+from pathlib import Path
+
+import msgspec
+
+from bench.fit import report
+from kingcupvane.connection.messages import (
+    Envelope,
+    FrameCodec,
+    Heartbeat,
+    MemberBeat,
+    Stamp,
+)
+from kingcupvane.request.lookup import ClientBlocks
+from kingcupvane.settings import ShareSettings
+from kingcupvane.standin.fleet import Fleet
+from kingcupvane.tests.scenario import Scenario
+from kingcupvane.version.configuration import Configuration, Items
+from kingcupvane.version.division import ShareRecord
+from kingcupvane.version.items import Account, Entry, Target
+from kingcupvane.version.share import ShareHolder
+
+SEED = 7
+CLOCK_TICKS = 100
+PAGE_KB = 4
+ROUNDS = 200
+
+
+def cpu_s(pid: int) -> float:
+    """Returns a process's processor time, in seconds."""
+    parts = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(parts[11]) + int(parts[12])) / CLOCK_TICKS
+
+
+def resident_mb(pid: int) -> float:
+    """Returns a process's resident memory, in megabytes."""
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * PAGE_KB / 1024
+
+
+def measure_paths() -> None:
+    """Prints processor time of look-ups and of carried requests."""
+    with Fleet(folder=Path(tempfile.mkdtemp())) as fleet:
+        scenario = Scenario(fleet=fleet)
+        scenario.run("fleet 1 data centres, 1 entries, 4 targets")
+        pid = fleet.members_by_name["e-a1"].process.pid
+        print(f"entry's resident memory when idle: {resident_mb(pid):.1f} MB")
+        idle = measure_cpu(pid, 5.0)
+        print(f"entry's processor time when idle: {idle:.2%} of a core")
+        measure_lookups(scenario, pid)
+        measure_requests(scenario, pid)
+
+
+def measure_cpu(pid: int, seconds: float) -> float:
+    """Returns processor time per second over some seconds."""
+    before = cpu_s(pid)
+    time.sleep(seconds)
+    return (cpu_s(pid) - before) / seconds
+
+
+def measure_lookups(scenario: Scenario, pid: int) -> None:
+    """Prints processor time against look-ups per second."""
+    import threading
+
+    import httpcore
+
+    url = scenario.url("e-a1") + "/v1/entries?service=treaty"
+    headers = {"authorization": f"Bearer {scenario.keys_by_name['k1']}"}
+    rates, costs = [], []
+    for rate in (100, 200, 400):
+        stop = threading.Event()
+        counts = []
+
+        def work(rate=rate, stop=stop, counts=counts) -> None:
+            done = 0
+            due = time.monotonic()
+            with httpcore.ConnectionPool() as pool:
+                while not stop.wait(max(0.0, due - time.monotonic())):
+                    due += 4 / rate
+                    pool.request("GET", url, headers=headers)
+                    done += 1
+            counts.append(done)
+
+        threads = [threading.Thread(target=work) for _ in range(4)]
+        started_at = time.monotonic()
+        for thread in threads:
+            thread.start()
+        cost = measure_cpu(pid, 5.0)
+        stop.set()
+        for thread in threads:
+            thread.join()
+        rates.append(sum(counts) / (time.monotonic() - started_at))
+        costs.append(cost)
+    report("look-ups, cores", "look-ups/s", rates, costs, (708,))
+
+
+def measure_requests(scenario: Scenario, pid: int) -> None:
+    """Prints processor time against carried requests per second."""
+    rates, costs = [], []
+    for rate in (50, 100, 200):
+        scenario.run(f"load {rate} /s reads at e-a1")
+        time.sleep(1.0)
+        cost = measure_cpu(pid, 5.0)
+        scenario.run("stop load")
+        rates.append(float(rate))
+        costs.append(cost)
+    report("carried requests, cores", "requests/s", rates, costs, (708,))
+
+
+def measure_blocks() -> None:
+    """Prints memory and time of the client block table."""
+    sizes, memory, micros = [], [], []
+    for size in (100_000, 300_000, 690_000):
+        rng = random.Random(SEED)
+        starts = sorted(rng.sample(range(2**32), size))
+        sites = [rng.randrange(170) for _ in range(size)]
+        tracemalloc.start()
+        table = ClientBlocks(starts=starts, sites=sites)
+        memory.append(tracemalloc.get_traced_memory()[0] / 2**20)
+        tracemalloc.stop()
+        asked = [
+            ".".join(str(rng.randrange(256)) for _ in range(4))
+            for _ in range(2000)
+        ]
+        started_at = time.perf_counter()
+        for address in asked:
+            table.site_of(address)
+        micros.append((time.perf_counter() - started_at) / len(asked) * 1e6)
+        sizes.append(size)
+    report("client blocks, MB", "blocks", sizes, memory, (690_000,))
+    report("client blocks, us/look-up", "blocks", sizes, micros, (690_000,))
+
+
+def measure_messages() -> None:
+    """Prints bytes and processor time of a heartbeat against its members."""
+    codec = FrameCodec(secret=b"bench")
+    sizes, lengths, micros = [], [], []
+    for size in (3, 14, 28):
+        beats = [
+            MemberBeat(f"entry-data-centre-{n}", 1_800_000_000_000 + n, n * 997)
+            for n in range(size)
+        ]
+        message = Heartbeat(
+            sender="entry-data-centre-1",
+            address="10.0.0.1:8000",
+            revision=10_000,
+            digest="0" * 32,
+            beats=beats,
+            confirmed_age_s=1.5,
+        )
+        envelope = Envelope(Stamp(1_800_000_000_000, 3), message)
+        started_at = time.process_time()
+        for _ in range(ROUNDS):
+            frame = codec.encode(envelope)
+            codec.decode(frame)
+        micros.append((time.process_time() - started_at) / ROUNDS * 1e6)
+        lengths.append(len(frame))
+        sizes.append(size)
+    report("heartbeat, bytes", "members", sizes, lengths, (28,))
+    report("heartbeat, us both ways", "members", sizes, micros, (28,))
+
+
+def make_configuration(size: int) -> Configuration:
+    """Returns a configuration of some entries, with ten targets to each."""
+    entries = tuple(
+        Entry(
+            name=f"entry-{number}",
+            region=f"region-{number % 19}",
+            data_centre=f"dc-{number % 43}",
+            caller_address="10.0.0.1:8000",
+            peer_address="10.0.0.1:8001",
+        )
+        for number in range(size)
+    )
+    targets = tuple(
+        Target(
+            name=f"target-{number}",
+            service="s",
+            version="v1",
+            region=f"region-{number % 19}",
+            data_centre=f"dc-{number % 43}",
+            address="10.0.0.1:9000",
+        )
+        for number in range(size * 4)
+    )
+    return Configuration(
+        revision=1, items=Items(entries=entries, targets=targets)
+    )
+
+
+def measure_configuration() -> None:
+    """Prints size, memory and decoding time of the configuration."""
+    sizes, lengths, seconds, memory = [], [], [], []
+    for size in (100, 400, 1200):
+        document = make_configuration(size).model_dump_json()
+        tracemalloc.start()
+        started_at = time.process_time()
+        decoded = Configuration.model_validate_json(document)
+        _ = decoded.digest, decoded.targets_by_name
+        seconds.append((time.process_time() - started_at) * 1000)
+        memory.append(tracemalloc.get_traced_memory()[0] / 2**20)
+        tracemalloc.stop()
+        lengths.append(len(document) / 1024)
+        sizes.append(size)
+    report("configuration, KB", "entries", sizes, lengths, (1200,))
+    report("configuration, ms to take in", "entries", sizes, seconds, (1200,))
+    report("configuration, MB held", "entries", sizes, memory, (1200,))
+
+
+def measure_share_record() -> None:
+    """Prints size and planning time of the record of rates."""
+    sizes, lengths, millis = [], [], []
+    for size in (10, 40, 160):
+        names = [f"entry-{n}" for n in range(size)]
+        accounts = [
+            Account(name=f"account-{n}", rate=100, burst=200) for n in range(8)
+        ]
+        record = ShareRecord()
+        now = 100.0
+        spent = 0.0
+        for name in names:
+            holder = ShareHolder(
+                name=name, incarnation=1, settings=ShareSettings()
+            )
+            for account in accounts:
+                holder.count_arrival(account.name, now)
+            started_at = time.process_time()
+            record = holder.plan(record, accounts, names, now + 1) or record
+            spent = time.process_time() - started_at
+        lengths.append(len(msgspec.json.encode(record)) / 1024)
+        millis.append(spent * 1000)
+        sizes.append(size)
+    report("rate record, KB", "entries", sizes, lengths, (1200,))
+    report("rate record, ms to plan", "entries", sizes, millis, (1200,))
+
+
+def run() -> None:
+    """Prints all slopes."""
+    print(f"seed {SEED}")
+    measure_blocks()
+    measure_messages()
+    measure_configuration()
+    measure_share_record()
+    measure_paths()
+    own = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
+    print(f"this run's own peak: {own:.0f} MB")
--- a/kingcupvane/process/entry.py
+++ b/kingcupvane/process/entry.py
@@ -408,6 +408,11 @@
         for operation, count in self._store.calls.items():
             self._metrics.store_calls.set({"operation": operation}, count)
         self._metrics.order_writes.set({}, self._ledger.writes)
+        peers = self._peers
+        self._metrics.peer_bytes.set({"direction": "sent"}, peers.sent_bytes)
+        self._metrics.peer_bytes.set(
+            {"direction": "received"}, peers.received_bytes
+        )
         await asgi.HttpResponse(
             body=self._metrics.text(), content_type=TEXT_TYPE
         ).send(send)
--- a/kingcupvane/process/ledger.py
+++ b/kingcupvane/process/ledger.py
@@ -31,6 +31,7 @@
 class _Writer:
     pending: list[_Pending] = field(default_factory=list)
     busy: bool = False
+    written_at: float = float("-inf")
     item: Item | None = None
 
 
@@ -100,6 +101,9 @@
     async def _write_all(self, key: str, writer: _Writer) -> None:
         try:
             while writer.pending:
+                due = writer.written_at + self._settings.linger_s
+                await trio.sleep(max(0.0, due - self._clock.now()))
+                writer.written_at = self._clock.now()
                 batch = writer.pending[:BATCH_MAX]
                 del writer.pending[:BATCH_MAX]
                 await self._write(key, writer, batch)
--- a/kingcupvane/process/metrics.py
+++ b/kingcupvane/process/metrics.py
@@ -31,6 +31,10 @@
         self.order_writes = self._gauge(
             "kingcupvane_order_writes", "Store writes of order records."
         )
+        self.peer_bytes = self._gauge(
+            "kingcupvane_peer_bytes",
+            "Bytes exchanged as asking side with other daemons since start.",
+        )
         self.request_seconds = Histogram(
             "kingcupvane_request_duration_seconds",
             "Time from the request's headers to the end of its answer.",
--- a/kingcupvane/process/sharing.py
+++ b/kingcupvane/process/sharing.py
@@ -10,7 +10,8 @@
 from kingcupvane.process.timeline import Timeline
 from kingcupvane.request.admission import Admission
 from kingcupvane.settings import ShareSettings
-from kingcupvane.version.share import STORE_KEY, ShareHolder, ShareRecord
+from kingcupvane.version.division import ShareRecord
+from kingcupvane.version.share import STORE_KEY, ShareHolder
 
 ATTEMPTS = 4
 
--- a/kingcupvane/request/order.py
+++ b/kingcupvane/request/order.py
@@ -189,12 +189,16 @@
 def segment_key(
     account: str, key: uuid.UUID, *, settings: OrderSettings
 ) -> str:
-    """Returns the store key of the segment that holds an order's record."""
+    """Returns the store key of the segment that holds an order's record.
+
+    Segments are by account, since look-ups keep an account on few entries:
+    then few entries write the same segment.
+    """
     if settings.buckets == 0:
         return f"{PREFIX}/{account}/{key}"
     window = int(made_at_s(key) // settings.window_s)
-    digest = spread(f"{account}/{key}")
-    return f"{PREFIX}/{window}/{digest % settings.buckets}"
+    bucket = spread(str(key)) % settings.buckets
+    return f"{PREFIX}/{account}/{window}/{bucket}"
 
 
 def refuse_repeat(record: OrderRecord) -> Refusal:
--- a/kingcupvane/settings.py
+++ b/kingcupvane/settings.py
@@ -151,9 +151,16 @@
         description="Records whose keys were made in one window share values.",
     )
     buckets: int = Field(
-        4,
+        1,
         ge=0,
-        description="Values per window; 0 keeps one value for each record.",
+        description=(
+            "Values per account and window; 0 keeps one value for each record."
+        ),
+    )
+    linger_s: float = Field(
+        0.02,
+        ge=0,
+        description="Least time between two writes of a value, in seconds.",
     )
     retention_s: float = Field(
         86400.0,
--- a/kingcupvane/standin/fleet.py
+++ b/kingcupvane/standin/fleet.py
@@ -55,6 +55,7 @@
     data_centre: str
     caller_address: str = field(default_factory=lambda: free_address())
     peer_address: str = field(default_factory=lambda: free_address())
+    metrics_address: str = field(default_factory=lambda: free_address())
 
 
 @dataclass(kw_only=True, frozen=True)
@@ -158,6 +159,7 @@
             "data_centre": spec.data_centre,
             "caller_address": spec.caller_address,
             "peer_address": spec.peer_address,
+            "metrics_address": spec.metrics_address,
             "peer_secret_file": str(self._secret()),
             "seeds": seeds,
             "store": {"address": link.address},
--- a/kingcupvane/version/share.py
+++ b/kingcupvane/version/share.py
@@ -10,83 +10,24 @@
 and starts using what it gains after it has written.
 """
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
-import msgspec
-
 from kingcupvane.settings import ShareSettings
+from kingcupvane.version.division import (
+    Division,
+    Loan,
+    Row,
+    ShareRecord,
+    floor_of,
+)
 from kingcupvane.version.items import Account
 
 STORE_KEY = "shares"
-FLOOR_SLOTS = 16
-FLOOR_PART = 0.5
 DEMAND_HALF_LIFE_S = 2.0
 CHANGE_MIN = 0.03
 RENEWALS_PER_LOAN = 3
 DEMAND_MIN = 0.01
-IDLE_NEED = 0.02
-
-
-class Loan(msgspec.Struct, frozen=True, array_like=True):
-    """Rate in requests per second, and burst in requests."""
-
-    rate: float = 0.0
-    burst: float = 0.0
-
-
-class Row(msgspec.Struct, frozen=True, kw_only=True):
-    """What one entry holds.
-
-    Attributes:
-        holder: Name of the entry.
-        incarnation: Start time of its process, in Unix milliseconds.
-        serial: Grows with each renewal.
-        claims: Accounts whose floor the entry may use.
-        demand_by_account: Requests per second that it would serve.
-        loans_by_account: Loans on top of the floors.
-    """
-
-    holder: str
-    incarnation: int = 0
-    serial: int = 0
-    claims: list[str] = []
-    demand_by_account: dict[str, float] = {}
-    loans_by_account: dict[str, Loan] = {}
-
-
-class ShareRecord(msgspec.Struct, frozen=True, kw_only=True):
-    """The rows of all entries, by the entry's name."""
-
-    rows_by_holder: dict[str, Row] = {}
-
-
-def floor_of(account: Account) -> Loan:
-    """Returns the floor of one entry.
-
-    A floor whose burst is below one request could never be used; then the
-    whole of the account's rate is lent.
-    """
-    burst = account.burst * FLOOR_PART / FLOOR_SLOTS
-    if burst < 1.0:
-        return Loan()
-    return Loan(account.rate * FLOOR_PART / FLOOR_SLOTS, burst)
-
-
-def water_fill(
-    pool: float, demand_by_name: Mapping[str, float]
-) -> dict[str, float]:
-    """Divides a pool by demand, smallest first; the rest goes by demand."""
-    granted: dict[str, float] = {}
-    left = pool
-    remaining = sorted(demand_by_name.items(), key=lambda pair: pair[1])
-    for index, (name, demand) in enumerate(remaining):
-        granted[name] = min(demand, left / (len(remaining) - index))
-        left -= granted[name]
-    total = sum(granted.values())
-    if left > 0 and total > 0:
-        granted = {n: part / total * pool for n, part in granted.items()}
-    return granted
 
 
 class DemandMeter:
@@ -204,11 +145,14 @@
         accounts = tuple(accounts)
         rows = dict(self._kept_rows(record, set(entries), now))
         known = rows.pop(self._name, Row(holder=self._name))
-        own = self._own_row(known, rows, accounts, now)
-        self._shrink_to(own)
+        names = set(entries) | {self._name}
+        others = tuple(rows.values())
+        own = self._own_row(known, others, accounts, len(names), now)
         unchanged = len(rows) + 1 == len(record.rows_by_holder)
         if unchanged and not self._worth_writing(known, own, accounts, now):
+            self._shrink_to(known)
             return None
+        self._shrink_to(own)
         rows[self._name] = own
         return ShareRecord(rows_by_holder=rows)
 
@@ -251,28 +195,28 @@
     def _own_row(
         self,
         known: Row,
-        rows: Mapping[str, Row],
+        others: tuple[Row, ...],
         accounts: Iterable[Account],
+        entries: int,
         now: float,
     ) -> Row:
         demand: dict[str, float] = {}
         loans: dict[str, Loan] = {}
         claims: list[str] = []
         for account in accounts:
-            floor = floor_of(account)
             meter = self._demand_by_account.get(account.name)
             wanted = meter.sample(now) if meter else 0.0
             if wanted >= DEMAND_MIN:
                 demand[account.name] = round(min(wanted, account.rate), 3)
             if self._released:
                 continue
-            pool = _pool(account, rows.values(), floor)
-            if account.name in known.claims or _fits(
-                pool, floor, rows.values(), known, account.name
-            ):
+            division = Division(account=account, others=others, entries=entries)
+            claims_floor = account.name in known.claims or division.floor_fits()
+            if claims_floor:
                 claims.append(account.name)
-                pool = Loan(pool.rate - floor.rate, pool.burst - floor.burst)
-            loan = self._own_loan(account, pool, rows.values(), demand, floor)
+            loan = division.own_loan(
+                demand.get(account.name, 0.0), claims_floor=claims_floor
+            )
             if loan.rate > 0:
                 loans[account.name] = loan
         return Row(
@@ -284,34 +228,6 @@
             loans_by_account=loans,
         )
 
-    def _own_loan(
-        self,
-        account: Account,
-        pool: Loan,
-        others: Iterable[Row],
-        demand: Mapping[str, float],
-        floor: Loan,
-    ) -> Loan:
-        name = account.name
-        others = tuple(others)
-        idle = IDLE_NEED * account.rate / (len(others) + 1)
-        needs = {
-            row.holder: _need(row.demand_by_account, name, floor) + idle
-            for row in others
-        }
-        needs[self._name] = _need(demand, name, floor) + idle
-        lent = _lent(others, name)
-        free = Loan(
-            max(0.0, pool.rate - lent.rate), max(0.0, pool.burst - lent.burst)
-        )
-        if pool.rate <= 0:
-            return Loan()
-        part = water_fill(pool.rate, needs)[self._name] / pool.rate
-        return Loan(
-            min(pool.rate * part, free.rate),
-            min(pool.burst * part, free.burst),
-        )
-
     def _shrink_to(self, own: Row) -> None:
         self._claims = self._claims & frozenset(own.claims)
         usable: dict[str, Loan] = {}
@@ -344,39 +260,3 @@
     least = rate * CHANGE_MIN
     moved = abs(after - before) > least
     return moved or abs(demand_after - demand_before) > 3 * least
-
-
-def _need(
-    demand_by_account: Mapping[str, float], name: str, floor: Loan
-) -> float:
-    return max(0.0, demand_by_account.get(name, 0.0) - floor.rate)
-
-
-def _lent(rows: Iterable[Row], name: str) -> Loan:
-    loans = [row.loans_by_account.get(name, Loan()) for row in rows]
-    return Loan(
-        sum(loan.rate for loan in loans), sum(loan.burst for loan in loans)
-    )
-
-
-def _pool(account: Account, rows: Iterable[Row], floor: Loan) -> Loan:
-    claimed = sum(1 for row in rows if account.name in row.claims)
-    return Loan(
-        account.rate - claimed * floor.rate,
-        account.burst - claimed * floor.burst,
-    )
-
-
-def _fits(
-    pool: Loan, floor: Loan, rows: Iterable[Row], known: Row, name: str
-) -> bool:
-    """Returns whether one more floor fits beside all loans."""
-    rows = tuple(rows)
-    claimed = sum(1 for row in rows if name in row.claims)
-    lent = _lent(rows, name)
-    return (
-        floor.burst > 0
-        and claimed < FLOOR_SLOTS
-        and pool.rate - lent.rate >= floor.rate
-        and pool.burst - lent.burst >= floor.burst
-    )
