--- a/kingcupvane/process/answers.py
+++ b/kingcupvane/process/answers.py
@@ -25,7 +25,7 @@
 from kingcupvane.process.replica import Replica
 from kingcupvane.process.role import Role
 from kingcupvane.process.timeline import Timeline
-from kingcupvane.request.handler import RefusalCounter
+from kingcupvane.request.refusals import RefusalCounter
 from kingcupvane.request.routing import LOAN_TTL_S, TargetBoard
 from kingcupvane.settings import EntrySettings
 from kingcupvane.version.share import ShareHolder
--- a/kingcupvane/process/entry.py
+++ b/kingcupvane/process/entry.py
@@ -29,14 +29,12 @@
 from kingcupvane.process.timeline import HybridClock, Timeline
 from kingcupvane.request.admission import Admission
 from kingcupvane.request.dispatch import Dispatcher
-from kingcupvane.request.handler import (
-    RefusalCounter,
-    RequestHandler,
-    StreamRegistry,
-)
+from kingcupvane.request.handler import RequestHandler
 from kingcupvane.request.once import OrderRunner
+from kingcupvane.request.refusals import RefusalCounter
 from kingcupvane.request.retry import CrashRegistry
 from kingcupvane.request.routing import TargetBoard, rank
+from kingcupvane.request.streams import StreamRegistry
 from kingcupvane.settings import EntrySettings, read_secret
 from kingcupvane.version.configuration import Configuration
 from kingcupvane.version.move import VersionShare, version_shares
@@ -224,7 +222,7 @@
             settings=self._settings.request,
             clock=self._clock,
             metrics=self._metrics,
-            refusals=self._refusals,
+            refusal_counter=self._refusals,
             admission=self._admission,
             dispatcher=self._dispatcher,
             orders=self._orders,
--- a/kingcupvane/request/dispatch.py
+++ b/kingcupvane/request/dispatch.py
@@ -1,6 +1,5 @@
 """Dispatch: a slot at a target, the exchange, and retries of safe requests."""
 
-import math
 from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
 from dataclasses import dataclass
@@ -14,13 +13,14 @@
     AnswerSink,
     Failure,
     FailureKind,
-    Outbound,
     TargetClient,
 )
-from kingcupvane.errors import Executed, Refusal, Step
+from kingcupvane.errors import Refusal
 from kingcupvane.process.timeline import Timeline
+from kingcupvane.request import refusals
 from kingcupvane.request.concurrency import Observation
 from kingcupvane.request.context import RequestContext
+from kingcupvane.request.outbound import outbound_request
 from kingcupvane.request.queue import FairQueue
 from kingcupvane.request.retry import CrashRegistry, RetryBudget
 from kingcupvane.request.routing import TargetBoard
@@ -29,12 +29,7 @@
 from kingcupvane.version.items import Target
 from kingcupvane.version.move import VersionShare
 
-BAD_GATEWAY = 502
-UNAVAILABLE = 503
-GATEWAY_TIMEOUT = 504
-UNPROCESSABLE = 422
 SERVER_ERROR_MIN = 500
-OVERLOAD_RETRY_S = 1.0
 RECHECK_S = 0.05
 DEATH_CHECKS_S = (0.0, 0.1)
 
@@ -127,7 +122,7 @@
             sink: Takes answers that are too large to hold.
         """
         if self._crashes.is_refused(context.fingerprint, self._clock.now()):
-            return Err(refuse_crashing(context))
+            return Err(refusals.crashes_targets())
         if self._crashes.is_suspect(context.fingerprint, self._clock.now()):
             async with self._suspects:
                 return await self._attempts(context, configuration, sink)
@@ -150,7 +145,7 @@
             result = await self.exchange(context, target, sink)
             if isinstance(result, Answer):
                 return Ok(result)
-            refusal = explain(context, target, result)
+            refusal = refusals.explain(context, target, result)
             tried |= {target.name}
             if not self._may_retry(context, result, len(tried)):
                 return Err(refusal)
@@ -194,7 +189,7 @@
         while (now := self._clock.now()) < until:
             turn = queue.join(context.account)
             if turn is None:
-                return Err(_refuse_busy(context, "queue-full"))
+                return Err(refusals.busy(context, "queue-full"))
             try:
                 with trio.move_on_after(min(RECHECK_S, until - now)):
                     await turn.wait()
@@ -203,7 +198,7 @@
             target = self._take(service, configuration(), exclude)
             if target is not None:
                 return Ok(target)
-        return Err(_refuse_busy(context, "no-capacity"))
+        return Err(refusals.busy(context, "no-capacity"))
 
     def _take(
         self, service: str, configuration: Configuration, exclude: frozenset
@@ -354,70 +349,3 @@
         if self.result.status >= SERVER_ERROR_MIN:
             return Observation.FAILURE
         return Observation.SUCCESS
-
-
-def outbound_request(context: RequestContext, remaining_s: float) -> Outbound:
-    """Returns the request as a target gets it, without the caller's key."""
-    headers = {
-        "client-account": context.account,
-        "request-timeout": f"{math.floor(remaining_s * 1000) / 1000}",
-    }
-    if context.idempotency_key:
-        headers["idempotency-key"] = context.idempotency_key
-    if context.content_type:
-        headers["content-type"] = context.content_type
-    if context.accept:
-        headers["accept"] = context.accept
-    path = context.path + (f"?{context.query}" if context.query else "")
-    return Outbound(
-        method=context.method, path=path, headers=headers, body=context.body
-    )
-
-
-def explain(
-    context: RequestContext, target: Target, failure: Failure
-) -> Refusal:
-    """Returns the refusal for an exchange that gave no whole answer."""
-    match failure.kind:
-        case FailureKind.NOT_SENT:
-            status, executed = BAD_GATEWAY, context.not_run()
-        case FailureKind.SHED:
-            status, executed = UNAVAILABLE, context.not_run()
-        case FailureKind.BROKEN:
-            status, executed = BAD_GATEWAY, Executed.UNKNOWN
-        case FailureKind.TIMEOUT:
-            status, executed = GATEWAY_TIMEOUT, Executed.UNKNOWN
-    step = Step.EXCHANGE
-    if failure.kind is FailureKind.NOT_SENT:
-        step = Step.CONNECT
-    shed = failure.kind is FailureKind.SHED
-    return Refusal(
-        status=status,
-        reason=f"target-{failure.kind.value}",
-        detail=f"The target gave no whole answer: {failure.detail}.",
-        step=step,
-        peer=target.name,
-        executed=executed,
-        retry_after_s=OVERLOAD_RETRY_S if shed else 0.0,
-    )
-
-
-def refuse_crashing(context: RequestContext) -> Refusal:
-    """Returns the refusal of a request that crashed several targets."""
-    return Refusal(
-        status=UNPROCESSABLE,
-        reason="request-crashes-targets",
-        detail="Targets died while they ran this request.",
-        step=Step.ROUTE,
-        executed=Executed.UNKNOWN,
-    )
-
-
-def _refuse_busy(context: RequestContext, reason: str) -> Refusal:
-    return context.refuse(
-        UNAVAILABLE,
-        reason,
-        "No healthy target has a free slot.",
-        Step.QUEUE,
-        retry_after_s=OVERLOAD_RETRY_S,
-    )
--- a/kingcupvane/request/handler.py
+++ b/kingcupvane/request/handler.py
@@ -1,7 +1,7 @@
 """The way of a request from the caller's connection to its answer."""
 
 import re
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 import trio
 from result import Err, Ok, Result
@@ -9,11 +9,10 @@
 from kingcupvane import asgi, problem
 from kingcupvane.clock import Clock
 from kingcupvane.connection.target import Answer, AnswerSink
-from kingcupvane.errors import Executed, Refusal, Step
+from kingcupvane.errors import Refusal, Step
 from kingcupvane.process.metrics import Metrics
 from kingcupvane.process.replica import Replica
-from kingcupvane.process.timeline import Timeline
-from kingcupvane.request import authentication, retry
+from kingcupvane.request import authentication, refusals, retry
 from kingcupvane.request.admission import Admission
 from kingcupvane.request.context import (
     FIRST_ATTEMPT,
@@ -22,6 +21,8 @@
 )
 from kingcupvane.request.dispatch import Dispatcher
 from kingcupvane.request.once import OrderRunner
+from kingcupvane.request.refusals import RefusalCounter
+from kingcupvane.request.streams import StreamRegistry
 from kingcupvane.settings import RequestSettings
 from kingcupvane.version.configuration import Configuration
 
@@ -32,73 +33,6 @@
 SERVICE_PATH = re.compile(r"^/([a-z0-9][a-z0-9._-]*)(/.*)?$")
 
 
-@dataclass(kw_only=True, slots=True)
-class _Stream:
-    key_name: str
-    scope: trio.CancelScope
-
-
-class StreamRegistry:
-    """Answers that are being passed on, by the key that asked for them."""
-
-    def __init__(self):
-        """Starts without streams."""
-        self._streams: list[_Stream] = []
-
-    def add(self, key_name: str, scope: trio.CancelScope) -> _Stream:
-        """Adds a running request."""
-        stream = _Stream(key_name=key_name, scope=scope)
-        self._streams.append(stream)
-        return stream
-
-    def remove(self, stream: _Stream) -> None:
-        """Removes a request that has ended."""
-        self._streams.remove(stream)
-
-    def end_withdrawn(self, configuration: Configuration) -> int:
-        """Ends requests whose key is gone; returns how many."""
-        known = configuration.keys_by_name
-        gone = [
-            stream
-            for stream in self._streams
-            if stream.key_name and stream.key_name not in known
-        ]
-        for stream in gone:
-            stream.scope.cancel()
-        return len(gone)
-
-
-class RefusalCounter:
-    """Counts refusals by class, and tells the time line now and then.
-
-    Attributes:
-        count_by_reason: Refusals since the start by their reason.
-    """
-
-    def __init__(self, *, timeline: Timeline):
-        """Starts without refusals.
-
-        Args:
-            timeline: Gets the 1st, 2nd, 4th, 8th refusal of each class.
-        """
-        self._timeline = timeline
-        self.count_by_reason: dict[str, int] = {}
-
-    def count(self, refusal: Refusal) -> None:
-        """Counts a refusal."""
-        count = self.count_by_reason.get(refusal.reason, 0) + 1
-        self.count_by_reason[refusal.reason] = count
-        if count & (count - 1) == 0:
-            self._timeline.record(
-                "refusals",
-                reason=refusal.reason,
-                count=count,
-                step=refusal.step.value,
-                peer=refusal.peer,
-                executed=refusal.executed.value,
-            )
-
-
 class RequestHandler:
     """Serves requests of callers for services."""
 
@@ -108,7 +42,7 @@
         settings: RequestSettings,
         clock: Clock,
         metrics: Metrics,
-        refusals: RefusalCounter,
+        refusal_counter: RefusalCounter,
         admission: Admission,
         dispatcher: Dispatcher,
         orders: OrderRunner,
@@ -121,7 +55,7 @@
             settings: Bounds of one request.
             clock: Monotonic clock.
             metrics: Counts requests.
-            refusals: Counts refusals by class.
+            refusal_counter: Counts refusals by class.
             admission: Knows the accounts' shares.
             dispatcher: Carries requests to targets.
             orders: Runs requests that run at most once.
@@ -131,7 +65,7 @@
         self._settings = settings
         self._clock = clock
         self._metrics = metrics
-        self._refusals = refusals
+        self._refusal_counter = refusal_counter
         self._admission = admission
         self._dispatcher = dispatcher
         self._orders = orders
@@ -155,7 +89,7 @@
                     await _send_answer(answer, send)
             case Err(refusal):
                 label = refusal.reason
-                self._refusals.count(refusal)
+                self._refusal_counter.count(refusal)
                 if sink.begun:
                     raise AnswerCutError(refusal.reason)
                 await problem.to_response(refusal).send(send)
@@ -169,10 +103,10 @@
     ) -> Result[Answer, Refusal]:
         usable = self._replica.usable()
         if isinstance(usable, Err):
-            return Err(_refuse_unusable(usable.err_value))
+            return Err(refusals.unusable(usable.err_value))
         identified = self._identify(request, started_at)
         if isinstance(identified, Err):
-            return Err(_hedge(request, identified.err_value))
+            return Err(refusals.hedge(request, identified.err_value))
         context = identified.ok_value
         if not context.route.open:
             admitted = self._admission.admit(context, self._configuration())
@@ -185,7 +119,7 @@
                 return await self._read_and_run(request, context, sink)
         finally:
             self._streams.remove(stream)
-        return Err(_refuse_withdrawn(context))
+        return Err(refusals.key_withdrawn())
 
     def _identify(
         self, request: asgi.HttpRequest, started_at: float
@@ -196,7 +130,7 @@
         if match:
             service = configuration.services_by_name.get(match[1])
         if service is None:
-            return Err(_refuse_unknown_service())
+            return Err(refusals.unknown_service())
         path = match[2] or "/"
         route = find_route(service, path)
         key = authentication.presented_key(
@@ -211,7 +145,7 @@
         if authentication.leaks_key(
             key, path=path, query=request.query, body=b""
         ):
-            return Err(_refuse_leak())
+            return Err(refusals.key_in_content())
         timeout = self._timeout_s(request.headers)
         if isinstance(timeout, Err):
             return timeout
@@ -265,7 +199,7 @@
             request.headers.get("authorization", "")
         )
         if authentication.leaks_key(key, path="", query="", body=body.ok_value):
-            return Err(_refuse_leak())
+            return Err(refusals.key_in_content())
         context = _with_body(context, body.ok_value)
         self._buffered += len(context.body)
         try:
@@ -337,14 +271,6 @@
         )
 
 
-def _hedge(request: asgi.HttpRequest, refusal: Refusal) -> Refusal:
-    """Makes no claim about an order that an earlier attempt may have run."""
-    attempt = request.headers.get("idempotency-attempt", FIRST_ATTEMPT)
-    if attempt == FIRST_ATTEMPT:
-        return refusal
-    return replace(refusal, executed=Executed.UNKNOWN)
-
-
 class AnswerCutError(Exception):
     """Ends a connection on which an answer was begun but cannot be whole."""
 
@@ -375,42 +301,3 @@
         }
     )
     await send({"type": "http.response.body", "body": answer.body})
-
-
-def _refuse_unknown_service() -> Refusal:
-    return Refusal(
-        status=NOT_FOUND,
-        reason="unknown-service",
-        detail="No service has this name.",
-        step=Step.ROUTE,
-    )
-
-
-def _refuse_leak() -> Refusal:
-    return Refusal(
-        status=BAD_REQUEST,
-        reason="key-in-content",
-        detail="The key may stand only in the Authorization header.",
-        step=Step.AUTHENTICATE,
-    )
-
-
-def _refuse_unusable(why: str) -> Refusal:
-    return Refusal(
-        status=UNAVAILABLE,
-        reason="configuration-unusable",
-        detail=why,
-        step=Step.ROUTE,
-        executed=Executed.UNKNOWN,
-        retry_after_s=1.0,
-    )
-
-
-def _refuse_withdrawn(context: RequestContext) -> Refusal:
-    return Refusal(
-        status=authentication.UNAUTHORIZED,
-        reason="key-withdrawn",
-        detail="The key was withdrawn while the request ran.",
-        step=Step.AUTHENTICATE,
-        executed=Executed.UNKNOWN,
-    )
--- a/kingcupvane/request/once.py
+++ b/kingcupvane/request/once.py
@@ -3,7 +3,7 @@
 import hashlib
 import secrets
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 import trio
 from result import Err, Ok, Result
@@ -13,8 +13,9 @@
 from kingcupvane.errors import Executed, Refusal, Step
 from kingcupvane.process.ledger import OrderLedger
 from kingcupvane.process.timeline import Timeline
+from kingcupvane.request import refusals
 from kingcupvane.request.context import RequestContext
-from kingcupvane.request.dispatch import Dispatcher, explain, refuse_crashing
+from kingcupvane.request.dispatch import Dispatcher
 from kingcupvane.request.order import (
     DONE,
     NOT_RUN,
@@ -44,6 +45,21 @@
 REPLAY_HEADER = (b"idempotency-replayed", b"true")
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OrderClaim:
+    """An attempt's claim to run an order.
+
+    Attributes:
+        segment: Store key of the segment that holds the record.
+        key: Key of the record within the segment.
+        record: The record that this attempt wants to create.
+    """
+
+    segment: str
+    key: str
+    record: OrderRecord
+
+
 class OrderRunner:
     """Runs an order when, and only when, it has created its record."""
 
@@ -82,49 +98,45 @@
         if isinstance(parsed, Err):
             return parsed
         if self._crashes.is_refused(context.fingerprint, self._clock.now()):
-            return Err(refuse_crashing(context))
+            return Err(refusals.crashes_targets())
         key = parsed.ok_value
-        segment = segment_key(context.account, key, settings=self._settings)
-        record_key = f"{context.account}/{key}"
         placed = await self._dispatcher.place(
             context, configuration, frozenset()
         )
         if isinstance(placed, Err):
             return placed
         target = placed.ok_value
-        record = _new_record(context)
+        claim = OrderClaim(
+            segment=segment_key(context.account, key, settings=self._settings),
+            key=f"{context.account}/{key}",
+            record=_new_record(context),
+        )
         try:
-            created = await self._create(context, segment, record_key, record)
+            created = await self._create(context, claim)
         except trio.Cancelled:
             self._dispatcher.release(context, target)
             raise
         if isinstance(created, Err):
             self._dispatcher.release(context, target)
-            self._spawn(segment, record_key, replace_state(record, NOT_RUN))
+            self._spawn(claim, replace_state(claim.record, NOT_RUN))
             return created
         outcome = created.ok_value
         if not outcome.own:
             self._dispatcher.release(context, target)
-            return _answer_repeat(outcome.record, record)
+            return _answer_repeat(outcome.record, claim.record)
         if self._clock.now() >= context.deadline:
             self._dispatcher.release(context, target)
-            self._spawn(segment, record_key, replace_state(record, NOT_RUN))
+            self._spawn(claim, replace_state(claim.record, NOT_RUN))
             return Err(_refuse_late(context))
-        return await self._dispatch(
-            context, configuration, target, segment, record_key, record
-        )
+        return await self._dispatch(context, configuration, target, claim)
 
     async def _create(
-        self,
-        context: RequestContext,
-        segment: str,
-        key: str,
-        record: OrderRecord,
+        self, context: RequestContext, claim: OrderClaim
     ) -> Result[Outcome, Refusal]:
-        operation = Create(key=key, record=record)
+        operation = Create(key=claim.key, record=claim.record)
         reply = None
         with trio.move_on_after(context.deadline - self._clock.now()):
-            reply = await self._ledger.submit(segment, operation)
+            reply = await self._ledger.submit(claim.segment, operation)
         if isinstance(reply, Ok):
             return reply
         peer = reply.err_value.peer if reply else ""
@@ -144,9 +156,7 @@
         context: RequestContext,
         configuration: Callable[[], Configuration],
         target: Target,
-        segment: str,
-        key: str,
-        record: OrderRecord,
+        claim: OrderClaim,
     ) -> Result[Answer, Refusal]:
         """Runs the exchange in a task that outlives the caller."""
         inbox_send, inbox = trio.open_memory_channel[Answer | Failure](1)
@@ -155,9 +165,7 @@
             context,
             configuration,
             target,
-            segment,
-            key,
-            record,
+            claim,
             inbox_send,
         )
         result = None
@@ -174,20 +182,17 @@
         context: RequestContext,
         configuration: Callable[[], Configuration],
         target: Target,
-        segment: str,
-        key: str,
-        record: OrderRecord,
+        claim: OrderClaim,
         inbox: trio.MemorySendChannel,
     ) -> None:
-        patient = replace(
-            context, deadline=max(context.deadline, self._clock.now())
-        )
-        patient = replace(patient, deadline=patient.deadline + OUTCOME_WAIT_S)
+        now = self._clock.now()
+        ends_at = max(context.deadline, now) + OUTCOME_WAIT_S
+        patient = replace(context, deadline=ends_at)
         self.running += 1
         try:
             result = await self._exchange_once(patient, target, configuration)
             inbox.send_nowait(result)
-            await self._complete(segment, key, record, result)
+            await self._complete(claim, result)
         finally:
             self.running -= 1
 
@@ -214,30 +219,26 @@
             target = placed.ok_value
 
     async def _complete(
-        self,
-        segment: str,
-        key: str,
-        record: OrderRecord,
-        result: Answer | Failure,
+        self, claim: OrderClaim, result: Answer | Failure
     ) -> None:
         if isinstance(result, Answer):
-            final = _done_record(record, result, self._settings)
+            final = _done_record(claim.record, result, self._settings)
         elif result.kind in (FailureKind.NOT_SENT, FailureKind.SHED):
-            final = replace_state(record, NOT_RUN)
+            final = replace_state(claim.record, NOT_RUN)
         else:
             self._timeline.record("order-unsettled", why=result.kind.value)
             return
-        await self._write_outcome(segment, key, final)
+        await self._write_outcome(claim, final)
 
-    def _spawn(self, segment: str, key: str, record: OrderRecord) -> None:
-        self._nursery.start_soon(self._write_outcome, segment, key, record)
+    def _spawn(self, claim: OrderClaim, record: OrderRecord) -> None:
+        self._nursery.start_soon(self._write_outcome, claim, record)
 
     async def _write_outcome(
-        self, segment: str, key: str, record: OrderRecord
+        self, claim: OrderClaim, record: OrderRecord
     ) -> None:
-        operation = Complete(key=key, record=record)
+        operation = Complete(key=claim.key, record=record)
         for _ in range(OUTCOME_RETRIES):
-            reply = await self._ledger.submit(segment, operation)
+            reply = await self._ledger.submit(claim.segment, operation)
             if isinstance(reply, Ok):
                 return
             await trio.sleep(OUTCOME_RETRY_S)
@@ -317,7 +318,7 @@
     No other attempt can have run, so a request that was not sent did not run
     whatever the caller's count of attempts.
     """
-    refusal = explain(context, target, failure)
+    refusal = refusals.explain(context, target, failure)
     if failure.kind in (FailureKind.NOT_SENT, FailureKind.SHED):
         return replace(refusal, executed=Executed.NO)
     return refusal
--- /dev/null
+++ b/kingcupvane/request/outbound.py
@@ -0,0 +1,27 @@
+"""The request as a target gets it."""
+
+import math
+
+from kingcupvane.connection.target import Outbound
+from kingcupvane.request.context import RequestContext
+
+MILLISECONDS = 1000
+
+
+def outbound_request(context: RequestContext, remaining_s: float) -> Outbound:
+    """Returns the request as a target gets it, without the caller's key."""
+    whole_ms = math.floor(remaining_s * MILLISECONDS)
+    headers = {
+        "client-account": context.account,
+        "request-timeout": str(whole_ms / MILLISECONDS),
+    }
+    if context.idempotency_key:
+        headers["idempotency-key"] = context.idempotency_key
+    if context.content_type:
+        headers["content-type"] = context.content_type
+    if context.accept:
+        headers["accept"] = context.accept
+    path = context.path + (f"?{context.query}" if context.query else "")
+    return Outbound(
+        method=context.method, path=path, headers=headers, body=context.body
+    )
--- /dev/null
+++ b/kingcupvane/request/refusals.py
@@ -0,0 +1,151 @@
+"""Refusals of requests, and their count."""
+
+from dataclasses import replace
+
+from kingcupvane import asgi
+from kingcupvane.connection.target import Failure, FailureKind
+from kingcupvane.errors import Executed, Refusal, Step
+from kingcupvane.process.timeline import Timeline
+from kingcupvane.request.context import FIRST_ATTEMPT, RequestContext
+from kingcupvane.version.items import Target
+
+UNAUTHORIZED = 401
+BAD_REQUEST = 400
+NOT_FOUND = 404
+UNPROCESSABLE = 422
+BAD_GATEWAY = 502
+UNAVAILABLE = 503
+GATEWAY_TIMEOUT = 504
+OVERLOAD_RETRY_S = 1.0
+
+
+class RefusalCounter:
+    """Counts refusals by class, and tells the time line now and then.
+
+    Attributes:
+        count_by_reason: Refusals since the start by their reason.
+    """
+
+    def __init__(self, *, timeline: Timeline):
+        """Starts without refusals.
+
+        Args:
+            timeline: Gets the 1st, 2nd, 4th, 8th refusal of each class.
+        """
+        self._timeline = timeline
+        self.count_by_reason: dict[str, int] = {}
+
+    def count(self, refusal: Refusal) -> None:
+        """Counts a refusal."""
+        count = self.count_by_reason.get(refusal.reason, 0) + 1
+        self.count_by_reason[refusal.reason] = count
+        if count & (count - 1) == 0:
+            self._timeline.record(
+                "refusals",
+                reason=refusal.reason,
+                count=count,
+                step=refusal.step.value,
+                peer=refusal.peer,
+                executed=refusal.executed.value,
+            )
+
+
+def hedge(request: asgi.HttpRequest, refusal: Refusal) -> Refusal:
+    """Makes no claim about an order that an earlier attempt may have run."""
+    attempt = request.headers.get("idempotency-attempt", FIRST_ATTEMPT)
+    if attempt == FIRST_ATTEMPT:
+        return refusal
+    return replace(refusal, executed=Executed.UNKNOWN)
+
+
+def unknown_service() -> Refusal:
+    """Returns the refusal of a path that names no service."""
+    return Refusal(
+        status=NOT_FOUND,
+        reason="unknown-service",
+        detail="No service has this name.",
+        step=Step.ROUTE,
+    )
+
+
+def key_in_content() -> Refusal:
+    """Returns the refusal of a request that would show its key."""
+    return Refusal(
+        status=BAD_REQUEST,
+        reason="key-in-content",
+        detail="The key may stand only in the Authorization header.",
+        step=Step.AUTHENTICATE,
+    )
+
+
+def unusable(why: str) -> Refusal:
+    """Returns the refusal of an entry without a usable configuration."""
+    return Refusal(
+        status=UNAVAILABLE,
+        reason="configuration-unusable",
+        detail=why,
+        step=Step.ROUTE,
+        executed=Executed.UNKNOWN,
+        retry_after_s=1.0,
+    )
+
+
+def key_withdrawn() -> Refusal:
+    """Returns the refusal of a request whose key was withdrawn."""
+    return Refusal(
+        status=UNAUTHORIZED,
+        reason="key-withdrawn",
+        detail="The key was withdrawn while the request ran.",
+        step=Step.AUTHENTICATE,
+        executed=Executed.UNKNOWN,
+    )
+
+
+def explain(
+    context: RequestContext, target: Target, failure: Failure
+) -> Refusal:
+    """Returns the refusal for an exchange that gave no whole answer."""
+    match failure.kind:
+        case FailureKind.NOT_SENT:
+            status, executed = BAD_GATEWAY, context.not_run()
+        case FailureKind.SHED:
+            status, executed = UNAVAILABLE, context.not_run()
+        case FailureKind.BROKEN:
+            status, executed = BAD_GATEWAY, Executed.UNKNOWN
+        case FailureKind.TIMEOUT:
+            status, executed = GATEWAY_TIMEOUT, Executed.UNKNOWN
+    step = Step.EXCHANGE
+    if failure.kind is FailureKind.NOT_SENT:
+        step = Step.CONNECT
+    shed = failure.kind is FailureKind.SHED
+    return Refusal(
+        status=status,
+        reason=f"target-{failure.kind.value}",
+        detail=f"The target gave no whole answer: {failure.detail}.",
+        step=step,
+        peer=target.name,
+        executed=executed,
+        retry_after_s=OVERLOAD_RETRY_S if shed else 0.0,
+    )
+
+
+def crashes_targets() -> Refusal:
+    """Returns the refusal of a request that crashed several targets."""
+    return Refusal(
+        status=UNPROCESSABLE,
+        reason="request-crashes-targets",
+        detail="Targets died while they ran this request.",
+        step=Step.ROUTE,
+        executed=Executed.UNKNOWN,
+    )
+
+
+def busy(context: RequestContext, reason: str) -> Refusal:
+    """Returns the refusal of a request that found no free slot."""
+    return context.refuse(
+        UNAVAILABLE,
+        reason,
+        "No healthy target has a free slot.",
+        Step.QUEUE,
+        retry_after_s=OVERLOAD_RETRY_S,
+    )
--- a/kingcupvane/tests/scenario.py
+++ b/kingcupvane/tests/scenario.py
@@ -541,6 +541,13 @@
     return sum(r["served_by_account"].get(str(account), 0) for r in found)
 
 
+@subject("peak")
+def peak(run: Scenario, target) -> int:
+    """Returns the most requests that a target had at a time."""
+    raw = run.fleet.control(str(target), "report")
+    return msgspec.json.decode(raw)["peak"]
+
+
 @subject("exit_status")
 def exit_status(run: Scenario, name) -> int:
     """Returns the exit status of a process that was stopped."""
