Lend slots of trusted targets only; tell far data centres less

Far heartbeats carried beats of a whole data centre, which nobody there uses, and news that a daemon is back was not passed on.

--- a/kingcupvane/process/answers.py
+++ b/kingcupvane/process/answers.py
@@ -121,7 +121,8 @@
 def answer_heartbeat(parts: PeerAnswers, message: Heartbeat) -> Heartbeat:
     """Takes in a peer's news and returns this daemon's."""
     parts.gossip.hear(message)
-    return parts.gossip.heartbeat()
+    far = parts.gossip.is_far(message.sender)
+    return parts.gossip.heartbeat(far=far)
 
 
 @answers(ConfigurationRequest)
--- a/kingcupvane/process/borrower.py
+++ b/kingcupvane/process/borrower.py
@@ -7,7 +7,7 @@
 """
 
 import math
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 import trio
@@ -50,6 +50,7 @@
         replica: Replica,
         clock: Clock,
         timeline: Timeline,
+        update_board: Callable[[], None],
     ):
         """Makes the task's state.
 
@@ -61,6 +62,7 @@
             replica: Knows targets and entries.
             clock: Monotonic clock.
             timeline: Gets the first loan from another place.
+            update_board: Makes the board count new loans.
         """
         self._settings = settings
         self._board = board
@@ -69,6 +71,7 @@
         self._replica = replica
         self._clock = clock
         self._timeline = timeline
+        self._update_board = update_board
         self._spilling: set[str] = set()
 
     async def run(self) -> None:
@@ -83,6 +86,7 @@
             for service, targets in self._services():
                 for offer, slots in self._requests(service, targets):
                     nursery.start_soon(self._ask, offer, slots)
+        self._update_board()
 
     def _services(self) -> Iterator[tuple[str, tuple[Target, ...]]]:
         yield from self._replica.current.targets_by_service.items()
@@ -123,11 +127,13 @@
 
     def offers(self, targets: tuple[Target, ...]) -> list[Offer]:
         """Returns who could lend slots, nearest first."""
+        now = self._clock.now()
         entries = self._replica.current.entries_by_data_centre
         found = [
             Offer(target=target, lender=entry)
             for target in targets
             if target.state == READY
+            and self._board.load(target).is_trusted(now)
             for entry in entries.get(target.data_centre, ())
             if entry.name != self._settings.name
         ]
--- a/kingcupvane/process/entry.py
+++ b/kingcupvane/process/entry.py
@@ -198,6 +198,7 @@
             replica=self._replica,
             clock=self._clock,
             timeline=self._timeline,
+            update_board=self._update_board,
         )
 
     def _make_orders(self, nursery: trio.Nursery) -> OrderRunner:
--- a/kingcupvane/process/gossip.py
+++ b/kingcupvane/process/gossip.py
@@ -8,6 +8,8 @@
 
 import contextlib
 import random
+from collections.abc import Iterator
+from functools import partial
 
 import trio
 from result import Ok
@@ -25,6 +27,7 @@
 from kingcupvane.process.timeline import Timeline
 from kingcupvane.request.retry import CrashRegistry
 from kingcupvane.settings import EntrySettings
+from kingcupvane.version.items import Entry
 
 NEAR_PEERS = 2
 FAR_PEERS = 1
@@ -86,45 +89,58 @@
         """Sends one round of heartbeats and takes in the answers."""
         self._membership.beat()
         async with trio.open_nursery() as nursery:
-            for address in self._addresses():
-                nursery.start_soon(self._talk, address)
+            for address, far in self._peers():
+                nursery.start_soon(partial(self._talk, address, far=far))
         self._note_changes()
 
-    def _addresses(self) -> list[str]:
+    def _peers(self) -> Iterator[tuple[str, bool]]:
+        """Yields addresses to talk to, and whether each is far."""
         settings = self._settings
         entries = self._replica.current.items.entries
         others = [entry for entry in entries if entry.name != settings.name]
         if not others:
             seeds = [s for s in settings.seeds if s != settings.peer_address]
-            count = min(NEAR_PEERS + FAR_PEERS, len(seeds))
-            return self._random.sample(seeds, count)
-        near = [
-            entry.peer_address
-            for entry in others
-            if entry.data_centre == settings.data_centre
-        ]
-        far = [
-            entry.peer_address
-            for entry in others
-            if entry.data_centre != settings.data_centre
-        ]
-        chosen = self._random.sample(near, min(NEAR_PEERS, len(near)))
-        return chosen + self._random.sample(far, min(FAR_PEERS, len(far)))
-
-    async def _talk(self, address: str) -> None:
-        reply = await self._client.ask(address, self.heartbeat())
+            for address in self._sample(seeds, NEAR_PEERS + FAR_PEERS):
+                yield address, False
+        near = [e.peer_address for e in others if self._is_near(e)]
+        far = [e.peer_address for e in others if not self._is_near(e)]
+        for address in self._sample(near, NEAR_PEERS):
+            yield address, False
+        for address in self._sample(far, FAR_PEERS):
+            yield address, True
+
+    def _is_near(self, entry: Entry) -> bool:
+        return entry.data_centre == self._settings.data_centre
+
+    def _sample(self, addresses: list[str], count: int) -> list[str]:
+        return self._random.sample(addresses, min(count, len(addresses)))
+
+    def is_far(self, name: str) -> bool:
+        """Returns whether an entry is known to be of another data centre."""
+        entry = self._replica.current.entries_by_name.get(name)
+        return entry is not None and not self._is_near(entry)
+
+    async def _talk(self, address: str, *, far: bool) -> None:
+        reply = await self._client.ask(address, self.heartbeat(far=far))
         if isinstance(reply, Ok) and isinstance(reply.ok_value, Heartbeat):
             self.hear(reply.ok_value)
 
-    def heartbeat(self) -> Heartbeat:
-        """Returns what this daemon has to tell."""
+    def heartbeat(self, *, far: bool) -> Heartbeat:
+        """Returns what this daemon has to tell.
+
+        Args:
+            far: Whether the receiver is in another data centre; it needs to
+                know only who is leaving.
+        """
         current = self._replica.current
+        membership = self._membership
+        beats = membership.far_beats() if far else membership.beats()
         return Heartbeat(
             sender=self._settings.name,
             address=self._settings.peer_address,
             revision=current.revision,
             digest=current.digest,
-            beats=self._membership.beats(),
+            beats=beats,
             crashes=self._crashes.shared(),
             moves=list(self._moves.states_by_name.values()),
             leaving_vms=self._membership.listed_leaving(),
@@ -159,14 +175,11 @@
             )
 
     def _hear_beats(self, heartbeat: Heartbeat, now: float) -> None:
-        entries = self._replica.current.entries_by_name
-        sender = entries.get(heartbeat.sender)
-        own = self._settings.data_centre
-        if sender is None or sender.data_centre == own:
-            self._membership.hear(heartbeat.beats, now)
-            self._membership.hear_listed(heartbeat.leaving_vms, now)
+        if self.is_far(heartbeat.sender):
+            self._membership.hear_far(heartbeat.beats)
             return
-        self._membership.hear_far(heartbeat.beats)
+        self._membership.hear(heartbeat.beats, now)
+        self._membership.hear_listed(heartbeat.leaving_vms, now)
 
     async def _pull_newer(self) -> None:
         async for address in self._pull_inbox:
--- a/kingcupvane/process/membership.py
+++ b/kingcupvane/process/membership.py
@@ -43,7 +43,7 @@
         self._listed_leaving: frozenset[str] = frozenset()
         self._near: frozenset[str] | None = None
         self._heard_leaving_by_name: dict[str, float] = {}
-        self._far_leaving_by_name: dict[str, MemberBeat] = {}
+        self._far_by_name: dict[str, MemberBeat] = {}
 
     @property
     def leaving(self) -> bool:
@@ -82,16 +82,17 @@
         return self._near is None or name in self._near
 
     def hear_far(self, beats: Iterable[MemberBeat]) -> None:
-        """Takes in who is leaving in another data centre."""
-        known = self._far_leaving_by_name
+        """Takes in who is leaving, or is back, in another data centre."""
+        known = self._far_by_name
         for beat in beats:
             before = known.get(beat.name)
-            if before is not None and not _newer(beat, before):
-                continue
-            if beat.leaving:
+            if before is None or _newer(beat, before):
                 known[beat.name] = beat
-            else:
-                known.pop(beat.name, None)
+
+    def far_beats(self) -> list[MemberBeat]:
+        """Returns what another data centre needs to know."""
+        own, *others = self.beats()
+        return [own, *(beat for beat in others if beat.leaving)]
 
     def list_leaving(self, names: Iterable[str]) -> None:
         """Takes in the names that the VM list itself calls leaving."""
@@ -132,7 +133,8 @@
         listed = (
             name in self._listed_leaving or name in self._heard_leaving_by_name
         )
-        if listed or name in self._far_leaving_by_name:
+        far = self._far_by_name.get(name)
+        if listed or (far is not None and far.leaving):
             return True
         if name == self._own.name:
             return self._own.leaving
@@ -146,7 +148,7 @@
             *self._members_by_name,
             *self._listed_leaving,
             *self._heard_leaving_by_name,
-            *self._far_leaving_by_name,
+            *self._far_by_name,
         }
         return sorted(name for name in names if self.is_leaving(name))
 
--- a/kingcupvane/request/concurrency.py
+++ b/kingcupvane/request/concurrency.py
@@ -62,6 +62,10 @@
         """Returns whether the target gets no requests for its failures."""
         return now < self._ejected_until
 
+    def is_trusted(self, now: float) -> bool:
+        """Returns whether the target has answered since it last failed."""
+        return not self._probing and not self.is_ejected(now)
+
     def is_free(self, now: float) -> bool:
         """Returns whether one more request may be sent now."""
         if self.is_ejected(now) or now < self._paused_until:
--- a/kingcupvane/tests/test_membership.py
+++ b/kingcupvane/tests/test_membership.py
@@ -57,3 +57,11 @@
     assert members.is_leaving("x1")
     members.hear_far([MemberBeat("x1", 2, 1)])
     assert not members.is_leaving("x1")
+    members.hear_far([MemberBeat("x1", 1, 5, True)])
+    assert not members.is_leaving("x1")
+
+
+def test_far_daemons_hear_only_of_this_one_and_of_leaving_ones():
+    members = make()
+    members.hear([MemberBeat("e2", 1, 3), MemberBeat("e3", 1, 3, True)], 0.0)
+    assert [beat.name for beat in members.far_beats()] == ["e1", "e3"]
--- a/kingcupvane/tests/test_routing.py
+++ b/kingcupvane/tests/test_routing.py
@@ -129,6 +129,7 @@
     load.finish(Observation.UNREACHABLE, latency_s=0.01, now=0.0)
     assert not load.is_free(0.5)
     assert load.is_free(1.1)
+    assert not load.is_trusted(1.1)
     load.start()
     assert not load.is_free(1.1)
     load.finish(Observation.SUCCESS, latency_s=0.01, now=1.2)
