Do not take a lost rack's requests for its killers; spread rounds of rates

A strike now counts only for a run that began after the one before; entries take the larger count, not the sum; a whole answer clears.

Rounds are now spread by a quarter.

--- a/kingcupvane/process/entry.py
+++ b/kingcupvane/process/entry.py
@@ -175,6 +175,7 @@
             clock=self._clock,
             timeline=self._timeline,
             settings=settings.share,
+            seed=self._incarnation,
         )
 
     def _make_request_parts(self) -> None:
--- a/kingcupvane/process/sharing.py
+++ b/kingcupvane/process/sharing.py
@@ -1,5 +1,7 @@
 """The task that keeps an entry's part of the accounts' rates up to date."""
 
+import random
+
 import msgspec
 import trio
 from result import Err, Ok
@@ -14,6 +16,7 @@
 from kingcupvane.version.share import STORE_KEY, ShareHolder
 
 ATTEMPTS = 4
+PERIOD_SPREAD = 0.25
 
 
 class ShareTask:
@@ -29,6 +32,7 @@
         clock: Clock,
         timeline: Timeline,
         settings: ShareSettings,
+        seed: int,
     ):
         """Makes the task's state.
 
@@ -40,6 +44,7 @@
             clock: Monotonic clock.
             timeline: Gets the end and return of loans.
             settings: Periods of the division.
+            seed: Seed of the spread of rounds over time.
         """
         self._holder = holder
         self._admission = admission
@@ -48,13 +53,15 @@
         self._clock = clock
         self._timeline = timeline
         self._settings = settings
+        self._random = random.Random(seed)
         self._lapsed = True
 
     async def run(self) -> None:
         """Rebalances until cancelled."""
         while True:
             await self.round()
-            await trio.sleep(self._settings.period_s)
+            spread = self._random.uniform(1 - PERIOD_SPREAD, 1 + PERIOD_SPREAD)
+            await trio.sleep(self._settings.period_s * spread)
 
     async def round(self) -> None:
         """Makes one rebalancing."""
--- a/kingcupvane/request/dispatch.py
+++ b/kingcupvane/request/dispatch.py
@@ -123,11 +123,15 @@
         """
         if self._crashes.is_refused(context.fingerprint, self._clock.now()):
             return Err(refusals.crashes_targets())
-        if self._crashes.is_suspect(context.fingerprint, self._clock.now()):
+        if self._is_suspect(context):
             async with self._suspects:
-                return await self._attempts(context, configuration, sink)
+                if self._is_suspect(context):
+                    return await self._attempts(context, configuration, sink)
         return await self._attempts(context, configuration, sink)
 
+    def _is_suspect(self, context: RequestContext) -> bool:
+        return self._crashes.is_suspect(context.fingerprint, self._clock.now())
+
     async def _attempts(
         self,
         context: RequestContext,
@@ -286,12 +290,16 @@
         result: Answer | Failure,
         started_at: float,
     ) -> None:
-        if isinstance(result, Failure):
+        if isinstance(result, Answer):
+            self._crashes.clear(context.fingerprint)
+        else:
             kind = result.kind
             if kind in (FailureKind.NOT_SENT, FailureKind.SHED):
                 return
             broken = kind is FailureKind.BROKEN and not result.begun
-            if broken and await self._blame_request(context, target):
+            if broken and await self._blame_request(
+                context, target, started_at
+            ):
                 return
         failed = (
             isinstance(result, Failure) or result.status >= SERVER_ERROR_MIN
@@ -319,13 +327,16 @@
         return False
 
     async def _blame_request(
-        self, context: RequestContext, target: Target
+        self, context: RequestContext, target: Target, started_at: float
     ) -> bool:
         """Notes a crash; true when the target died in this exchange."""
         if not await self._has_died(target):
             return False
         now = self._clock.now()
-        if self._crashes.add(context.fingerprint, target.name, now):
+        refused = self._crashes.add(
+            context.fingerprint, started_at=started_at, now=now
+        )
+        if refused:
             self._timeline.record(
                 "request-refused-for-crashes",
                 fingerprint=context.fingerprint,
--- a/kingcupvane/request/retry.py
+++ b/kingcupvane/request/retry.py
@@ -1,6 +1,7 @@
 """Retries: the budget, and requests that crash the targets that run them."""
 
 import hashlib
+from dataclasses import dataclass
 
 from kingcupvane.settings import RetrySettings
 
@@ -43,59 +44,88 @@
     return digest.hexdigest()
 
 
+@dataclass(kw_only=True, slots=True)
+class _Suspicion:
+    strikes: int
+    struck_at: float
+
+
 class CrashRegistry:
     """Requests in whose presence targets died.
 
-    Peers share what each of them has seen, so a request that killed one
-    target behind each of two entries is refused by both.
+    A request is suspect after one death, and refused after another death in
+    a run that began when it was suspect already. Deaths of the same time do
+    not add up: when a rack is lost, a frequent request is in flight at
+    several of its targets. A whole answer ends the suspicion.
     """
 
     def __init__(self, *, settings: RetrySettings):
         """Starts without crashes."""
         self._settings = settings
-        self._targets_by_print: dict[str, set[str]] = {}
-        self._seen_at_by_print: dict[str, float] = {}
+        self._suspicions_by_print: dict[str, _Suspicion] = {}
 
-    def add(self, print_: str, target: str, now: float) -> bool:
-        """Notes that a target died; true when the request is now refused."""
-        before = self.is_refused(print_, now)
-        self._targets_by_print.setdefault(print_, set()).add(target)
-        self._seen_at_by_print[print_] = now
-        return self.is_refused(print_, now) and not before
+    def add(self, print_: str, *, started_at: float, now: float) -> bool:
+        """Notes a death; true when the request is refused from now on.
+
+        Args:
+            print_: Fingerprint of the request.
+            started_at: When the run began, in monotonic seconds.
+            now: Monotonic seconds.
+        """
+        self._forget(now)
+        known = self._suspicions_by_print.get(print_)
+        if known is None:
+            known = _Suspicion(strikes=0, struck_at=float("-inf"))
+            self._suspicions_by_print[print_] = known
+        if started_at < known.struck_at:
+            return False
+        known.strikes += 1
+        known.struck_at = now
+        return known.strikes == self._settings.crash_limit
+
+    def clear(self, print_: str) -> None:
+        """Ends a suspicion, since the request got a whole answer."""
+        self._suspicions_by_print.pop(print_, None)
 
     def is_suspect(self, print_: str, now: float) -> bool:
         """Returns whether any target died with this request."""
         self._forget(now)
-        return print_ in self._targets_by_print
+        return print_ in self._suspicions_by_print
 
     def is_refused(self, print_: str, now: float) -> bool:
         """Returns whether this request crashed too many targets."""
         self._forget(now)
-        targets = self._targets_by_print.get(print_, set())
-        return len(targets) >= self._settings.crash_limit
+        known = self._suspicions_by_print.get(print_)
+        return known is not None and known.strikes >= self._settings.crash_limit
 
     def shared(self) -> list[str]:
-        """Returns what to pass on: `fingerprint target` pairs."""
+        """Returns what to pass on: `fingerprint strikes` pairs."""
         return [
-            f"{print_} {target}"
-            for print_, targets in self._targets_by_print.items()
-            for target in sorted(targets)
+            f"{print_} {known.strikes}"
+            for print_, known in self._suspicions_by_print.items()
         ]
 
     def hear(self, shared: list[str], now: float) -> list[str]:
-        """Takes in a peer's crashes; returns newly refused fingerprints."""
+        """Takes in a peer's crashes; returns newly refused fingerprints.
+
+        Strikes of two entries are not added, for they may be of one time.
+        """
         fresh = []
         for text in shared:
-            print_, _, target = text.partition(" ")
-            if target in self._targets_by_print.get(print_, set()):
+            print_, _, strikes = text.partition(" ")
+            count = int(strikes)
+            known = self._suspicions_by_print.get(print_)
+            if known is not None and known.strikes >= count:
                 continue
-            if self.add(print_, target, now):
+            self._suspicions_by_print[print_] = _Suspicion(
+                strikes=count, struck_at=now
+            )
+            if count >= self._settings.crash_limit:
                 fresh.append(print_)
         return fresh
 
     def _forget(self, now: float) -> None:
         oldest = now - self._settings.crash_memory_s
-        for print_, seen_at in list(self._seen_at_by_print.items()):
-            if seen_at < oldest:
-                del self._seen_at_by_print[print_]
-                del self._targets_by_print[print_]
+        for print_, known in list(self._suspicions_by_print.items()):
+            if known.struck_at < oldest:
+                del self._suspicions_by_print[print_]
