--- a/kingcupvane/standin/target.py
+++ b/kingcupvane/standin/target.py
@@ -140,6 +140,7 @@
         served_before = self._report.served
         async with trio.open_nursery() as nursery:
             scope = nursery.cancel_scope
+            scope.deadline = trio.current_time() + _timeout_s(request)
             nursery.start_soon(request.cancel_when_closed, scope)
             async with self._slots:
                 await self._execute(request, body, send)
@@ -244,3 +245,8 @@
                 }
             )
             await trio.sleep(self._settings.service_s)
+
+
+def _timeout_s(request: asgi.HttpRequest) -> float:
+    """Returns how long the caller waits; work after that is in vain."""
+    return float(request.headers.get("request-timeout", "inf"))
--- a/kingcupvane/tests/test_configuration.py
+++ b/kingcupvane/tests/test_configuration.py
@@ -1,11 +1,13 @@
 """Tests of release notes and the configuration."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from result import Err
 
+from kingcupvane.errors import UsageError
 from kingcupvane.process.replica import Replica
-from kingcupvane.settings import ConfigurationSettings
+from kingcupvane.settings import ConfigurationSettings, parse
 from kingcupvane.tests.builders import configuration, items, target
 from kingcupvane.version.configuration import (
     Configuration,
@@ -51,6 +53,23 @@
     assert "withdrawn" in merge(gone, again).err_value[0]
 
 
+def test_duplicate_name_is_one_clear_line():
+    text = """
+change_id = "c"
+[[add.accounts]]
+name = "a"
+rate = 1
+burst = 1
+[[add.accounts]]
+name = "a"
+rate = 2
+burst = 1
+"""
+    with pytest.raises(UsageError) as caught:
+        parse(text, ReleaseNote, source="n.toml")
+    assert "n.toml: add: accounts: duplicate name a" in str(caught.value)
+
+
 def test_dangling_names_are_refused():
     notes = [
         ReleaseNote(change_id="c", withdraw=Withdrawals(accounts=("acme",))),
--- a/kingcupvane/version/configuration.py
+++ b/kingcupvane/version/configuration.py
@@ -51,7 +51,9 @@
             names = [item.name for item in getattr(self, kind)]
             twice = sorted({name for name in names if names.count(name) > 1})
             if twice:
-                raise ValueError(f"{kind}: duplicate name {twice[0]}")
+                raise ValueError(
+                    f"{kind}: duplicate name {twice[0]}, expected each once"
+                )
         return self
 
 
