Apply each batch of order records once; remove what nothing uses

Found on reading the whole change. The ledger decoded and applied a segment twice for every write, once to see whether anything changed and once to write; it does so once now. A segment that came with a conflict is the store's own, so a batch that it answers is no longer read again. The refusal of an unknown service stood twice. Unused constants, a tuple of models, a fake's method and a one-line wrapper are gone.

--- a/kingcupvane/connection/caller.py
+++ b/kingcupvane/connection/caller.py
@@ -11,14 +11,13 @@
 from kingcupvane.errors import Refusal, Step
 from kingcupvane.process.membership import Membership
 from kingcupvane.process.metrics import Metrics
-from kingcupvane.request import authentication
+from kingcupvane.request import authentication, refusals
 from kingcupvane.request.handler import RequestHandler
 from kingcupvane.request.lookup import LookupAnswer, choose_entries
 from kingcupvane.settings import EntrySettings
 from kingcupvane.version.configuration import Configuration
 
 LOOKUP_PATH = "/v1/entries"
-NOT_FOUND = 404
 CACHE_MAX = 4096
 
 
@@ -115,14 +114,7 @@
         service = parse_qs(request.query).get("service", [""])[0]
         known = configuration.services_by_name.get(service)
         if known is None:
-            return Err(
-                Refusal(
-                    status=NOT_FOUND,
-                    reason="unknown-service",
-                    detail="No service has this name.",
-                    step=Step.LOOK_UP,
-                )
-            )
+            return Err(refusals.unknown_service(Step.LOOK_UP))
         key = authentication.presented_key(
             request.headers.get("authorization", "")
         )
--- a/kingcupvane/process/borrower.py
+++ b/kingcupvane/process/borrower.py
@@ -83,14 +83,12 @@
     async def round(self) -> None:
         """Asks for what each service needs."""
         async with trio.open_nursery() as nursery:
-            for service, targets in self._services():
+            by_service = self._replica.current.targets_by_service
+            for service, targets in by_service.items():
                 for offer, slots in self._requests(service, targets):
                     nursery.start_soon(self._ask, offer, slots)
         self._update_board()
 
-    def _services(self) -> Iterator[tuple[str, tuple[Target, ...]]]:
-        yield from self._replica.current.targets_by_service.items()
-
     def _requests(
         self, service: str, targets: tuple[Target, ...]
     ) -> Iterator[tuple[Offer, int]]:
--- a/kingcupvane/process/ledger.py
+++ b/kingcupvane/process/ledger.py
@@ -10,12 +10,17 @@
 from kingcupvane.clock import Clock
 from kingcupvane.errors import StoreError
 from kingcupvane.process.store import Conflict, Item, Store
-from kingcupvane.request.order import Operation, Outcome, Segment, apply
+from kingcupvane.request.order import (
+    Applied,
+    Operation,
+    Outcome,
+    Segment,
+    apply,
+)
 from kingcupvane.settings import OrderSettings
 
 SEGMENTS_KEPT = 256
 LEASE_REUSE_S = 600.0
-RETRY_S = 0.05
 BATCH_MAX = 512
 
 
@@ -120,14 +125,22 @@
         uncertain = False
         fresh = False
         while True:
-            if writer.item is None or not (fresh or _changes(writer, batch)):
+            if writer.item is None:
                 found = await self._store.get(key)
                 if isinstance(found, Err):
                     _fail(batch, found.err_value)
                     return
                 writer.item = found.ok_value
                 fresh = True
-            reply = await self._swap(key, writer, batch, lease=lease.ok_value)
+            applied = _apply(writer.item, batch)
+            if not (applied.changed or fresh):
+                # Another entry may have recorded an outcome since, so what
+                # changes nothing is answered from the store itself.
+                writer.item = None
+                continue
+            reply = await self._swap(
+                writer, batch, applied, lease=lease.ok_value
+            )
             match reply:
                 case Ok():
                     return
@@ -139,6 +152,7 @@
                             _fail(batch, lease.err_value)
                             return
                     writer.item = current
+                    fresh = True
                 case Err(StoreError() as error):
                     writer.item = None
                     if uncertain or not error.may_have_happened:
@@ -147,23 +161,25 @@
                     uncertain = True
 
     async def _swap(
-        self, key: str, writer: _Writer, batch: list[_Pending], *, lease: int
+        self,
+        writer: _Writer,
+        batch: list[_Pending],
+        applied: Applied,
+        *,
+        lease: int,
     ) -> Result[Item, Conflict | StoreError]:
-        item = writer.item
-        segment = _decode(item)
-        applied = apply(segment, [pending.operation for pending in batch])
-        reply: Result = Ok(item)
+        reply: Result = Ok(writer.item)
         if applied.changed:
             self.writes += 1
+            key = writer.item.key
             value = msgspec.json.encode(applied.segment).decode()
             reply = await self._store.swap(
-                key, value, expected=item.revision, lease=lease
+                key, value, expected=writer.item.revision, lease=lease
             )
+            if isinstance(reply, Ok):
+                revision = reply.ok_value.revision
+                writer.item = Item(key=key, value=value, revision=revision)
         if isinstance(reply, Ok):
-            if applied.changed:
-                writer.item = Item(
-                    key=key, value=value, revision=reply.ok_value.revision
-                )
             _settle(batch, applied.outcomes)
             self.operations += len(batch)
         return reply
@@ -182,20 +198,11 @@
         return granted
 
 
-def _changes(writer: _Writer, batch: list[_Pending]) -> bool:
-    """Returns whether a batch changes the segment as last seen.
-
-    One that does not must be answered from the store itself: another entry
-    may have recorded an outcome since.
-    """
-    segment = _decode(writer.item)
-    return apply(segment, [pending.operation for pending in batch]).changed
-
-
-def _decode(item: Item) -> Segment:
-    if not item.value:
-        return Segment()
-    return msgspec.json.decode(item.value, type=Segment)
+def _apply(item: Item, batch: list[_Pending]) -> Applied:
+    segment = Segment()
+    if item.value:
+        segment = msgspec.json.decode(item.value, type=Segment)
+    return apply(segment, [pending.operation for pending in batch])
 
 
 def _settle(batch: list[_Pending], outcomes: list[Outcome]) -> None:
--- a/kingcupvane/request/handler.py
+++ b/kingcupvane/request/handler.py
@@ -27,7 +27,6 @@
 from kingcupvane.version.configuration import Configuration
 
 BAD_REQUEST = 400
-NOT_FOUND = 404
 CONTENT_TOO_LARGE = 413
 UNAVAILABLE = 503
 SERVICE_PATH = re.compile(r"^/([a-z0-9][a-z0-9._-]*)(/.*)?$")
@@ -130,7 +129,7 @@
         if match:
             service = configuration.services_by_name.get(match[1])
         if service is None:
-            return Err(refusals.unknown_service())
+            return Err(refusals.unknown_service(Step.ROUTE))
         path = match[2] or "/"
         route = find_route(service, path)
         key = authentication.presented_key(
--- a/kingcupvane/request/refusals.py
+++ b/kingcupvane/request/refusals.py
@@ -58,13 +58,13 @@
     return replace(refusal, executed=Executed.UNKNOWN)
 
 
-def unknown_service() -> Refusal:
-    """Returns the refusal of a path that names no service."""
+def unknown_service(step: Step) -> Refusal:
+    """Returns the refusal of a name that no service has."""
     return Refusal(
         status=NOT_FOUND,
         reason="unknown-service",
         detail="No service has this name.",
-        step=Step.ROUTE,
+        step=step,
     )
 
 
--- a/kingcupvane/standin/link.py
+++ b/kingcupvane/standin/link.py
@@ -10,8 +10,6 @@
 
 from kingcupvane.settings import LinkStandinSettings
 
-CHUNK_BYTES = 64 * 1024
-
 
 class Link:
     """Forwards connections to one address."""
--- a/kingcupvane/standin/target.py
+++ b/kingcupvane/standin/target.py
@@ -17,7 +17,6 @@
 BODY_MAX_BYTES = 64 * 1024 * 1024
 SHED = 503
 FAULT = 500
-CHUNK_BYTES = 64 * 1024
 CRASH_MARKER = b"crash-the-target"
 REPORT_HEADER = "load-report"
 CRASH_EXIT = 70
--- a/kingcupvane/tests/caller.py
+++ b/kingcupvane/tests/caller.py
@@ -169,7 +169,7 @@
         self, pool: httpcore.ConnectionPool, url: str, count: int
     ) -> None:
         order = self.kind == "orders" or (
-            self.kind == "mixed" and count % 4 == 0
+            self.kind == "mixed" and count % ORDER_EVERY == 0
         )
         if not order:
             reply = call(pool, "GET", f"{url}/treaty/pos/{count}", key=self.key)
--- a/kingcupvane/tests/fakes.py
+++ b/kingcupvane/tests/fakes.py
@@ -1,8 +1,6 @@
 """Fakes at the interfaces: a store in memory, and clocks that trio drives."""
 
 from collections import deque
-from collections.abc import Iterator
-from contextlib import contextmanager
 
 import trio
 from result import Err, Ok, Result
@@ -115,10 +113,3 @@
 
     async def vms(self) -> Result[list[VmRecord], StoreError]:
         return Ok([])
-
-    @contextmanager
-    def outage(self) -> Iterator[None]:
-        """Makes every call fail for a while."""
-        self.down = True
-        yield
-        self.down = False
--- a/kingcupvane/version/items.py
+++ b/kingcupvane/version/items.py
@@ -134,14 +134,3 @@
     def deadline_s(self) -> float:
         """The deadline in Unix seconds."""
         return self.deadline.timestamp()
-
-
-ITEM_MODELS: tuple[type[BorderModel], ...] = (
-    Entry,
-    Service,
-    Target,
-    Account,
-    Key,
-    Version,
-    Move,
-)
