--- a/kingcupvane/connection/messages.py
+++ b/kingcupvane/connection/messages.py
@@ -3,12 +3,14 @@
 Each is a tagged structure, so that what arrives is checked when decoded.
 """
 
+import enum
 import hashlib
 import hmac
 
 import msgspec
 
 from kingcupvane.process.item import Item
+from kingcupvane.request.quota import AccountUse
 from kingcupvane.version.judge import Tally
 from kingcupvane.version.move import MoveState
 
@@ -215,6 +217,17 @@
     age_s: float
 
 
+class Feed(enum.StrEnum):
+    """Where a gateway's copy of the store comes from.
+
+    `LOST` is a gateway that would watch the store and cannot reach it.
+    """
+
+    STORE = "store"
+    PEERS = "peers"
+    LOST = "lost"
+
+
 class GatewayReport(
     msgspec.Struct, frozen=True, tag="gateway-report", kw_only=True
 ):
@@ -224,8 +237,8 @@
         record: Who sends it.
         ready: Whether callers may be sent to it.
         as_of: Store revision of its copy of the store.
-        in_touch: Whether its copy is fed by the store itself.
-        demand: Requests a second by client account.
+        feed: Where its copy of the store comes from.
+        use: What its callers ask for and get, by client account.
         crashes: Requests in whose presence targets died.
         states: What is decided about rollouts.
         rollouts: How long rollouts run.
@@ -235,8 +248,8 @@
     record: GatewayRecord
     ready: bool
     as_of: int
-    in_touch: bool = True
-    demand: dict[str, float] = {}
+    feed: Feed = Feed.PEERS
+    use: dict[str, AccountUse] = {}
     crashes: list[str] = []
     states: list[MoveState] = []
     rollouts: list[RolloutProgress] = []
--- a/kingcupvane/process/catalog.py
+++ b/kingcupvane/process/catalog.py
@@ -134,7 +134,7 @@
         self._views_by_service: dict[str, list[TargetView]] = {}
         self._removed_at: dict[str, float] = {}
         self._ranks = RankCache(place=place)
-        self._store_back_at = float("-inf")
+        self._store_seen_from = float("-inf")
 
     def apply(self, news: News) -> None:
         """Takes in one piece of news."""
@@ -158,9 +158,9 @@
                 self._timeline.record("item-unreadable", key=key, why=why)
                 self._remove(key.rpartition("/")[2])
 
-    def store_returned(self) -> None:
-        """Notes that the store answers again after an outage."""
-        self._store_back_at = self._clock.now()
+    def store_unseen(self) -> None:
+        """Notes that no gateway reaches the store now."""
+        self._store_seen_from = self._clock.now()
 
     def views(self, service: str) -> list[TargetView]:
         """Returns the targets of a service that are registered."""
@@ -187,7 +187,7 @@
         """Removes targets that did not come back after the store did."""
         now = self._clock.now()
         for name, removed_at in list(self._removed_at.items()):
-            if now - max(removed_at, self._store_back_at) > RETURN_GRACE_S:
+            if now - max(removed_at, self._store_seen_from) > RETURN_GRACE_S:
                 self._remove(name)
 
     def _take_plan(self, plan: TrafficPlan) -> None:
@@ -230,7 +230,7 @@
         if name not in self._views_by_name:
             return
         now = self._clock.now()
-        if now - self._store_back_at > RETURN_GRACE_S:
+        if now - self._store_seen_from > RETURN_GRACE_S:
             self._remove(name)
             return
         self._removed_at[name] = now
--- /dev/null
+++ b/kingcupvane/process/feed.py
@@ -0,0 +1,232 @@
+"""Keeps a gateway's copy of the store fed, by the store or by peers.
+
+A few gateways watch the store; the others copy from whoever is ahead, so that
+the calls to the store do not grow with the fleet. A watcher that loses the
+store says so and the next one takes its turn.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+import trio
+from result import Err, Ok
+
+from kingcupvane.clock import Clock
+from kingcupvane.connection.messages import (
+    Feed,
+    GatewayRecord,
+    MirrorReply,
+    MirrorRequest,
+)
+from kingcupvane.process.item import ABSENT, Item
+from kingcupvane.process.mirror import Mirror
+from kingcupvane.process.peering import PeerTable, watchers
+from kingcupvane.process.store import Conflict, HistoryGone, Store
+from kingcupvane.process.timeline import Timeline
+from kingcupvane.settings import PlatformStoreSettings
+
+# Gateways that watch the store.
+WATCHERS = 3
+# Time between two looks at whose turn it is to watch, in seconds.
+TURN_PERIOD_S = 0.2
+# Pause after changes, so that those that come together cost one call, in s.
+BATCH_S = 0.2
+# Pause after a failed call, in seconds.
+RETRY_S = 0.25
+RETRY_MAX_S = 1.0
+# A lease lives this many times the time after which a peer is lost.
+LEASE_CONTACTS = 2.0
+RENEWALS_PER_LEASE = 3.0
+RECORD_PREFIX = "gateways/"
+
+
+class StoreFeed:
+    """Feeds the copy; owns the watch.
+
+    Attributes:
+        feed: Where the copy comes from now.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        mirror: Mirror,
+        peers: PeerTable,
+        settings: PlatformStoreSettings,
+        take: Callable[[list[Item]], None],
+        clock: Clock,
+        timeline: Timeline,
+    ):
+        """Makes the task's state.
+
+        Args:
+            store: The platform's store.
+            mirror: The copy.
+            peers: Knows who could watch.
+            settings: How the store is called.
+            take: Gets what changed in the copy.
+            clock: Monotonic clock.
+            timeline: Gets the loss and return of the store.
+        """
+        self._store = store
+        self._mirror = mirror
+        self._peers = peers
+        self._settings = settings
+        self._take = take
+        self._clock = clock
+        self._timeline = timeline
+        self.feed = Feed.LOST
+        self._pause_s = RETRY_S
+
+    async def run(self) -> None:
+        """Feeds the copy until cancelled."""
+        while True:
+            if self._mirror.is_loaded and not self._is_my_turn():
+                if self.feed is Feed.STORE:
+                    self.feed = Feed.PEERS
+                await trio.sleep(TURN_PERIOD_S)
+                continue
+            await self._step()
+
+    def _is_my_turn(self) -> bool:
+        names = watchers(
+            self._peers,
+            own_feed=Feed.STORE,
+            count=WATCHERS,
+            now=self._clock.now(),
+        )
+        return self._peers.own.name in names
+
+    async def _step(self) -> None:
+        """Makes one call, and waits as its outcome demands."""
+        before = self._mirror.as_of
+        if not await self._call():
+            self._lose()
+            await trio.sleep(self._pause_s)
+            self._pause_s = min(RETRY_MAX_S, 2 * self._pause_s)
+            return
+        self._pause_s = RETRY_S
+        if self.feed is not Feed.STORE:
+            self.feed = Feed.STORE
+            self._timeline.record("store-regained", as_of=self._mirror.as_of)
+        if self._mirror.as_of > before:
+            await trio.sleep(BATCH_S)
+
+    async def _call(self) -> bool:
+        """Takes in the next changes; returns whether the store answered."""
+        mirror = self._mirror
+        if self.feed is not Feed.STORE:
+            return await self._list()
+        reply = await self._store.watch(
+            mirror.prefix, after=mirror.as_of, wait_s=self._settings.watch_s
+        )
+        match reply:
+            case Ok(listing):
+                changed = mirror.merge(listing.items, as_of=listing.revision)
+                self._take(changed)
+                return True
+            case Err(HistoryGone()):
+                self._timeline.record("store-history-gone", after=mirror.as_of)
+            case Err(error):
+                self._timeline.record("store-watch-cut", why=error.detail)
+        return await self._list()
+
+    async def _list(self) -> bool:
+        reply = await self._store.scan(self._mirror.prefix)
+        if isinstance(reply, Err):
+            self._why = reply.err_value.detail
+            return False
+        listing = reply.ok_value
+        changed = self._mirror.replace(listing.items, as_of=listing.revision)
+        self._take(changed)
+        return True
+
+    def _lose(self) -> None:
+        if self.feed is not Feed.LOST:
+            self._timeline.record("store-lost", why=self._why)
+        self.feed = Feed.LOST
+
+    def changes_since(self, request: MirrorRequest) -> MirrorReply:
+        """Returns what a peer's copy lacks."""
+        mirror = self._mirror
+        changes = mirror.since(request.after) if request.after else None
+        whole = changes is None
+        return MirrorReply(
+            items=list(mirror.items()) if whole else changes,
+            as_of=mirror.as_of,
+            whole=whole,
+        )
+
+    def take_changes(self, reply: MirrorReply) -> None:
+        """Takes in what a peer's copy has."""
+        mirror = self._mirror
+        take = mirror.replace if reply.whole else mirror.merge
+        self._take(take(reply.items, as_of=reply.as_of))
+
+
+class Registration:
+    """Presents this gateway in the store, under a lease."""
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        mirror: Mirror,
+        record: GatewayRecord,
+        ttl_s: float,
+    ):
+        """Makes the task's state.
+
+        Args:
+            store: The platform's store.
+            mirror: Knows a record of an earlier start.
+            record: What the gateway presents.
+            ttl_s: Life of the lease, in seconds.
+        """
+        self._store = store
+        self._mirror = mirror
+        self._record = record
+        self._ttl_s = ttl_s
+        self._lease = 0
+
+    async def run(self) -> None:
+        """Keeps the record until cancelled."""
+        while True:
+            if not self._lease:
+                self._lease = await self._register()
+            else:
+                reply = await self._store.renew(self._lease)
+                if isinstance(reply, Ok) and not reply.ok_value:
+                    self._lease = 0
+                    continue
+            await trio.sleep(self._ttl_s / RENEWALS_PER_LEASE)
+
+    async def withdraw(self) -> None:
+        """Removes the record."""
+        lease, self._lease = self._lease, 0
+        if lease:
+            await self._store.revoke(lease)
+
+    async def _register(self) -> int:
+        """Writes the record; returns its lease, 0 if that failed."""
+        granted = await self._store.grant(self._ttl_s)
+        if isinstance(granted, Err):
+            return 0
+        lease = granted.ok_value
+        key = RECORD_PREFIX + self._record.name
+        value = msgspec.json.encode(self._record).decode()
+        known = self._mirror.get(key)
+        expected = known.revision if known is not None else ABSENT
+        for _ in range(2):
+            written = await self._store.swap(
+                key, value, expected=expected, lease=lease
+            )
+            match written:
+                case Ok(_):
+                    return lease
+                case Err(Conflict(current=current)):
+                    expected = current.revision
+                case _:
+                    return 0
+        return 0
--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -21,6 +21,7 @@
 from kingcupvane.connection.messages import (
     EvidenceReply,
     EvidenceRequest,
+    Feed,
     FrameCodec,
     GatewayRecord,
     GatewayReport,
@@ -33,6 +34,7 @@
 from kingcupvane.errors import UsageError
 from kingcupvane.process.catalog import Catalog, GatewayNews, News
 from kingcupvane.process.evidence import EvidenceCounter
+from kingcupvane.process.feed import LEASE_CONTACTS, Registration, StoreFeed
 from kingcupvane.process.item import Item
 from kingcupvane.process.metrics import METRICS_PATH, TEXT_TYPE, Metrics
 from kingcupvane.process.mirror import Mirror
@@ -42,7 +44,7 @@
     RolloutRegister,
     move_name,
 )
-from kingcupvane.process.store import Conflict, HistoryGone, Store
+from kingcupvane.process.store import Conflict, Store
 from kingcupvane.process.supervisor import supervise
 from kingcupvane.process.timeline import HybridClock, Timeline
 from kingcupvane.request.placement import Place
@@ -65,11 +67,6 @@
 UPKEEP_PERIOD_S = 0.2
 SWEEP_PERIOD_S = 1.0
 ROLLOUT_PERIOD_S = 0.25
-WATCH_RETRY_S = 0.25
-WATCH_RETRY_MAX_S = 1.0
-# A lease lives this many times the contact bound.
-LEASE_CONTACTS = 2.0
-RENEWALS_PER_LEASE = 3.0
 # Time that is kept between the end of a graceful stop and SIGKILL, in s.
 STOP_MARGIN_S = 0.35
 # A stopping gateway ends after this long without requests, in seconds.
@@ -82,7 +79,6 @@
 NOT_FOUND = 404
 UNAVAILABLE = 503
 TIMELINE_CAPACITY = 2000
-GATEWAY_KEY_PREFIX = "gateways/"
 
 
 class Registry(Protocol):
@@ -144,8 +140,6 @@
         self._metrics = Metrics()
         self._stop = trio.Event()
         self._leaving = False
-        self._store_up = False
-        self._store_failed = False
         self._make_state()
         self._make_connections()
         self._make_steering()
@@ -172,7 +166,9 @@
             clock=self._clock,
             timeline=self._timeline,
         )
-        self._quota = QuotaDivision(now=now)
+        self._quota = QuotaDivision(
+            now=now, started_with_fleet=settings.first_start
+        )
         self._retry_settings = RetrySettings()
         self._crashes = CrashRegistry(settings=self._retry_settings)
         self._rollouts = RolloutRegister()
@@ -187,6 +183,23 @@
             codec=self._codec, clock=self._hybrid, timeout_s=REPORT_TIMEOUT_S
         )
         self._pool = ConnectionPool(clock=self._clock)
+        self._feed = StoreFeed(
+            store=self._store,
+            mirror=self._mirror,
+            peers=self._peers,
+            settings=settings.store,
+            take=self._take_items,
+            clock=self._clock,
+            timeline=self._timeline,
+        )
+        self._registration = Registration(
+            store=self._store,
+            mirror=self._mirror,
+            record=self._peers.own,
+            ttl_s=max(
+                settings.store.lease_min_s, LEASE_CONTACTS * settings.contact_s
+            ),
+        )
         self._suspicions, self._suspicion_inbox = trio.open_memory_channel[
             Suspicion
         ](SUSPICIONS_WAITING)
@@ -230,8 +243,8 @@
         self._timeline.record("started", data_centre=self._settings.data_centre)
         async with trio.open_nursery() as nursery:
             for name, task in (
-                ("watch-store", self._watch_store),
-                ("keep-lease", self._keep_lease),
+                ("feed", self._feed.run),
+                ("registration", self._registration.run),
                 ("report", self._report),
                 ("upkeep", self._upkeep),
                 ("rollouts", self._drive_rollouts),
@@ -321,60 +334,6 @@
 
     # The copy of the store.
 
-    async def _watch_store(self) -> None:
-        pause = WATCH_RETRY_S
-        while True:
-            fed = await self._feed()
-            if fed:
-                pause = WATCH_RETRY_S
-                continue
-            await trio.sleep(pause)
-            pause = min(WATCH_RETRY_MAX_S, 2 * pause)
-
-    async def _feed(self) -> bool:
-        """Takes in the next changes; returns whether the store answered."""
-        mirror = self._mirror
-        if not mirror.is_loaded or not self._store_up:
-            return await self._list()
-        reply = await self._store.watch(
-            mirror.prefix,
-            after=mirror.as_of,
-            wait_s=self._settings.store.watch_s,
-        )
-        match reply:
-            case Ok(listing):
-                self._take_items(
-                    mirror.merge(listing.items, as_of=listing.revision)
-                )
-                return True
-            case Err(HistoryGone()):
-                self._timeline.record("store-history-gone", after=mirror.as_of)
-                return await self._list()
-        self._lose_store(reply.err_value.detail)
-        return False
-
-    async def _list(self) -> bool:
-        reply = await self._store.scan(self._mirror.prefix)
-        if isinstance(reply, Err):
-            self._lose_store(reply.err_value.detail)
-            return False
-        if not self._store_up:
-            self._store_up = True
-            if self._store_failed:
-                self._catalog.store_returned()
-            self._timeline.record("store-regained")
-        listing = reply.ok_value
-        self._take_items(
-            self._mirror.replace(listing.items, as_of=listing.revision)
-        )
-        return True
-
-    def _lose_store(self, why: str) -> None:
-        if self._store_up:
-            self._timeline.record("store-lost", why=why)
-        self._store_up = False
-        self._store_failed = True
-
     def _take_items(self, items: list[Item]) -> None:
         now = self._clock.now()
         for item in items:
@@ -396,43 +355,6 @@
             return
         self._peers.learn(record, now)
 
-    async def _keep_lease(self) -> None:
-        ttl_s = max(
-            self._settings.store.lease_min_s,
-            LEASE_CONTACTS * self._settings.contact_s,
-        )
-        lease = 0
-        while True:
-            if lease:
-                reply = await self._store.renew(lease)
-                if isinstance(reply, Ok) and not reply.ok_value:
-                    lease = 0
-                    continue
-            else:
-                lease = await self._register(ttl_s)
-            await trio.sleep(ttl_s / RENEWALS_PER_LEASE)
-
-    async def _register(self, ttl_s: float) -> int:
-        """Presents this gateway in the store; returns its lease, 0 if not."""
-        granted = await self._store.grant(ttl_s)
-        if isinstance(granted, Err):
-            return 0
-        lease = granted.ok_value
-        own = self._peers.own
-        key = GATEWAY_KEY_PREFIX + own.name
-        value = msgspec.json.encode(own).decode()
-        known = self._mirror.get(key)
-        expected = known.revision if known is not None else 0
-        written = await self._store.swap(
-            key, value, expected=expected, lease=lease
-        )
-        if isinstance(written, Err) and isinstance(written.err_value, Conflict):
-            current = written.err_value.current
-            written = await self._store.swap(
-                key, value, expected=current.revision, lease=lease
-            )
-        return lease if isinstance(written, Ok) else 0
-
     # Peers.
 
     async def _serve_peers(self) -> None:
@@ -449,8 +371,8 @@
             case GatewayReport():
                 self._hear(message)
                 return self._own_report()
-            case MirrorRequest(after=after):
-                return self._changes_since(after)
+            case MirrorRequest():
+                return self._feed.changes_since(message)
             case EvidenceRequest(services=services):
                 return EvidenceReply(
                     incarnation=self._peers.own.incarnation,
@@ -458,24 +380,14 @@
                 )
         return None
 
-    def _changes_since(self, after: int) -> MirrorReply:
-        changes = self._mirror.since(after) if after else None
-        if changes is None:
-            return MirrorReply(
-                items=list(self._mirror.items()),
-                as_of=self._mirror.as_of,
-                whole=True,
-            )
-        return MirrorReply(items=changes, as_of=self._mirror.as_of, whole=False)
-
     def _own_report(self) -> GatewayReport:
         now = self._clock.now()
         return GatewayReport(
             record=self._peers.own,
             ready=self._is_ready(),
             as_of=self._mirror.as_of,
-            in_touch=self._store_up,
-            demand=self._quota.demand(now),
+            feed=self._feed.feed,
+            use=self._quota.use(now),
             crashes=self._crashes.shared(),
             states=list(self._rollouts.states_by_name.values()),
             rollouts=[
@@ -493,7 +405,12 @@
             self._timeline.record("gateway-live", name=report.record.name)
         if report.record.name == self._settings.name:
             return
-        self._quota.hear(report.record.name, report.demand, now)
+        self._quota.hear(
+            report.record.name,
+            report.use,
+            incarnation=report.record.incarnation,
+            now=now,
+        )
         for print_ in self._crashes.hear(report.crashes, now):
             self._timeline.record(
                 "request-refused-for-crashes",
@@ -542,21 +459,15 @@
         if not isinstance(report, GatewayReport):
             return
         self._hear(report)
-        behind = report.as_of > self._mirror.as_of
-        if behind and not self._store_up:
+        if report.as_of > self._mirror.as_of:
             await self._pull(address)
 
     async def _pull(self, address: str) -> None:
         """Takes in what a peer's copy of the store has and ours has not."""
         request = MirrorRequest(after=self._mirror.as_of)
         reply = await self._peer_client.ask(address, request)
-        if not isinstance(reply, Ok):
-            return
-        changes = reply.ok_value
-        if not isinstance(changes, MirrorReply):
-            return
-        take = self._mirror.replace if changes.whole else self._mirror.merge
-        self._take_items(take(changes.items, as_of=changes.as_of))
+        if isinstance(reply, Ok) and isinstance(reply.ok_value, MirrorReply):
+            self._feed.take_changes(reply.ok_value)
 
     # Upkeep.
 
@@ -568,6 +479,8 @@
             for name in self._peers.forget(now):
                 self._quota.drop(name)
                 self._timeline.record("gateway-forgotten", name=name)
+            if not self._is_store_watched(now):
+                self._catalog.store_unseen()
             self._catalog.expire()
             self._quota.refresh(
                 self._catalog.plan.accounts_by_name.values(), now
@@ -580,6 +493,15 @@
                 await self._pool.sweep(self._catalog.views_by_name())
             await trio.sleep(UPKEEP_PERIOD_S)
 
+    def _is_store_watched(self, now: float) -> bool:
+        """Returns whether this or another gateway reaches the store."""
+        if self._feed.feed is Feed.STORE:
+            return True
+        return any(
+            peer.report is not None and peer.report.feed is Feed.STORE
+            for peer in self._peers.live(now)
+        )
+
     async def _check_suspicions(self) -> None:
         """Blames a request only when its target does not listen any more."""
         async with trio.open_nursery() as nursery:
--- a/kingcupvane/process/peering.py
+++ b/kingcupvane/process/peering.py
@@ -8,7 +8,12 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
-from kingcupvane.connection.messages import GatewayRecord, GatewayReport
+from kingcupvane.connection.messages import (
+    Feed,
+    GatewayRecord,
+    GatewayReport,
+)
+from kingcupvane.request.routing import rank
 
 # Silence after which a peer gets no callers any more, in seconds.
 LIVE_S = 1.5
@@ -139,3 +144,36 @@
     same_region = [r for r in records if r.region == region]
     chosen = near or same_region or records
     return sorted(record.caller_address for record in chosen)
+
+
+def watchers(
+    table: PeerTable, *, own_feed: Feed, count: int, now: float
+) -> list[str]:
+    """Returns which gateways watch the store; the others copy from them.
+
+    They are spread over regions first, so that a region that is cut off from
+    the others still has one. A gateway that lost the store passes its turn on.
+
+    Args:
+        table: The known gateways.
+        own_feed: Where this gateway's own copy comes from.
+        count: How many watch.
+        now: Monotonic seconds.
+    """
+    able = []
+    if own_feed is not Feed.LOST:
+        able.append(table.own)
+    for peer in table.live(now):
+        if peer.report is not None and peer.report.feed is not Feed.LOST:
+            able.append(peer.record)
+    chosen = rank((record.name for record in able), subject="watch")
+    region_by_name = {record.name: record.region for record in able}
+    taken: dict[str, int] = {}
+
+    def turn(name: str) -> int:
+        region = region_by_name[name]
+        taken[region] = taken.get(region, 0) + 1
+        return taken[region]
+
+    turns = [(turn(name), index, name) for index, name in enumerate(chosen)]
+    return [name for _, _, name in sorted(turns)[:count]]
--- a/kingcupvane/request/quota.py
+++ b/kingcupvane/request/quota.py
@@ -1,16 +1,22 @@
-"""Division of an account's rate and burst among gateways, without a leader.
-
-Load pattern: an account's callers sit at some gateways and move. Each gateway
-tells its peers how much each account asks of it, and takes the part of rate
-and burst that is its part of the demand. A peer that falls silent keeps its
-part for a while, so two sides of a network partition do not both take the
-whole.
+"""One account's rate and burst over all gateways, without a leader.
+
+Load pattern: an account's callers sit at some gateways and move, and most
+accounts send little, so that a fixed part for each gateway would be under one
+request. Each gateway therefore keeps a copy of the account's one token
+bucket. It takes its own requests off at once and those of its peers as they
+report them; between reports, and while a peer is silent, it takes off what the
+peer sent lately. A request is admitted from the bucket while that is well
+filled. Near its end each gateway keeps to its own part of the rate, by its
+part of the demand, so that gateways which do not hear each other in time do
+not spend the same tokens.
 """
 
 import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
+import msgspec
+
 from kingcupvane.request.bucket import Bucket
 from kingcupvane.version.plan import AccountPlan
 
@@ -18,15 +24,30 @@
 DEMAND_S = 1.0
 # Demand that each gateway has in any case, as a share of the account's rate.
 FLOOR_SHARE = 0.02
-# Time for which a silent peer keeps its part, in seconds.
+# Time for which a silent peer is taken to go on, in seconds.
 PEER_MEMORY_S = 20.0
-# Part of rate and burst that is handed out; the rest covers demand that moves
-# faster than peers hear of it.
-HANDED_OUT = 0.98
+# Part of the burst below which gateways keep to their own part of the rate.
+RESERVE_SHARE = 0.25
+# Requests below which the reserve does not fall.
+RESERVE_MIN = 2.0
+# Largest debt of a bucket, in seconds of its rate.
+DEBT_S = 2.0
+
+
+class AccountUse(msgspec.Struct, frozen=True, array_like=True):
+    """What a gateway tells of one account.
+
+    Attributes:
+        demand: Requests a second that its callers send.
+        admitted: Requests admitted since its start.
+    """
+
+    demand: float
+    admitted: int
 
 
 class DemandMeter:
-    """Smoothed requests a second of one account at one gateway."""
+    """Smoothed requests a second."""
 
     def __init__(self, *, now: float):
         """Starts without demand."""
@@ -52,90 +73,182 @@
 @dataclass(kw_only=True, slots=True)
 class _Peer:
     heard_at: float
-    demand_by_account: Mapping[str, float] = field(default_factory=dict)
+    incarnation: int
+    use_by_account: Mapping[str, AccountUse] = field(default_factory=dict)
 
 
-class QuotaDivision:
-    """The part of each account's limit that this gateway may use."""
+@dataclass(kw_only=True, slots=True)
+class _PeerUse:
+    """What is assumed of a peer since its last report.
 
-    def __init__(self, *, now: float):
-        """Starts knowing no peer and no demand."""
-        self._now = now
-        self._meters_by_account: dict[str, DemandMeter] = {}
-        self._buckets_by_account: dict[str, Bucket] = {}
+    Attributes:
+        rate: Requests a second that it is taken to admit.
+        assumed: Requests taken off since the last report.
+    """
+
+    rate: float = 0.0
+    assumed: float = 0.0
+
+
+@dataclass(kw_only=True, slots=True)
+class _Account:
+    """This gateway's copy of an account's bucket."""
+
+    meter: DemandMeter
+    own: Bucket
+    tokens: float
+    at: float
+    admitted: int = 0
+    uses_by_peer: dict[str, _PeerUse] = field(default_factory=dict)
+
+
+class QuotaDivision:
+    """Admits requests of client accounts within their limits."""
+
+    def __init__(self, *, now: float, started_with_fleet: bool = False):
+        """Starts knowing no peer and no demand.
+
+        Args:
+            now: Monotonic seconds.
+            started_with_fleet: All gateways start for the first time, so
+                nothing was spent yet.
+        """
+        self._fresh_share = 1.0 if started_with_fleet else 0.0
+        self._accounts_by_name: dict[str, _Account] = {}
         self._peers_by_name: dict[str, _Peer] = {}
 
-    def hear(self, peer: str, demand: Mapping[str, float], now: float) -> None:
-        """Takes in what a peer's callers ask for."""
+    def hear(
+        self,
+        peer: str,
+        use: Mapping[str, AccountUse],
+        *,
+        incarnation: int,
+        now: float,
+    ) -> None:
+        """Takes in what a peer's callers ask for and what it admitted."""
+        before = self._peers_by_name.get(peer)
         self._peers_by_name[peer] = _Peer(
-            heard_at=now, demand_by_account=demand
+            heard_at=now, incarnation=incarnation, use_by_account=use
         )
+        same = before is not None and before.incarnation == incarnation
+        for name, account in self._accounts_by_name.items():
+            told = use.get(name)
+            if told is None:
+                account.uses_by_peer.pop(peer, None)
+                continue
+            last = before.use_by_account.get(name) if same else None
+            since_s = max(0.1, now - before.heard_at) if same else 0.0
+            base = last.admitted if last is not None else 0
+            if before is None:
+                base = told.admitted
+            self._settle(account, peer, max(0, told.admitted - base), since_s)
+
+    def _settle(
+        self,
+        account: _Account,
+        peer: str,
+        admitted: int,
+        since_s: float,
+    ) -> None:
+        """Replaces what was assumed of a peer by what it did."""
+        use = account.uses_by_peer.setdefault(peer, _PeerUse())
+        account.tokens -= admitted - use.assumed
+        use.assumed = 0.0
+        if since_s > 0.0:
+            use.rate = admitted / since_s
 
     def drop(self, peer: str) -> None:
         """Forgets a peer that has left for good."""
         self._peers_by_name.pop(peer, None)
+        for account in self._accounts_by_name.values():
+            account.uses_by_peer.pop(peer, None)
 
-    def demand(self, now: float) -> dict[str, float]:
-        """Returns what this gateway's callers ask for, to tell peers."""
+    def use(self, now: float) -> dict[str, AccountUse]:
+        """Returns what this gateway tells its peers."""
         return {
-            account: round(meter.rate(now), 2)
-            for account, meter in self._meters_by_account.items()
-            if meter.rate(now) > 0.01
+            name: AccountUse(
+                round(account.meter.rate(now), 2), account.admitted
+            )
+            for name, account in self._accounts_by_name.items()
+            if account.admitted or account.meter.rate(now) > 0.01
         }
 
-    def admit(self, account: AccountPlan, now: float) -> bool:
+    def admit(self, plan: AccountPlan, now: float) -> bool:
         """Counts a request and returns whether it is within the limit."""
-        meter = self._meters_by_account.get(account.name)
-        if meter is None:
-            meter = DemandMeter(now=now)
-            self._meters_by_account[account.name] = meter
-        meter.add(now)
-        if account.rate <= 0.0:
+        account = self._account(plan, now)
+        account.meter.add(now)
+        if plan.rate <= 0.0:
             return True
-        return self._bucket(account, now).take(now)
-
-    def wait_s(self, account: AccountPlan, now: float) -> float:
+        self._advance(account, plan, now)
+        reserve = max(RESERVE_MIN, RESERVE_SHARE * plan.burst)
+        if account.tokens < reserve and not account.own.take(now):
+            return False
+        account.tokens -= 1.0
+        account.admitted += 1
+        return True
+
+    def wait_s(self, plan: AccountPlan, now: float) -> float:
         """Returns the time until the account may send again, in seconds."""
-        if account.rate <= 0.0:
+        if plan.rate <= 0.0:
             return 0.0
-        return self._bucket(account, now).wait_s(now)
+        return self._account(plan, now).own.wait_s(now)
 
-    def refresh(self, accounts: Iterable[AccountPlan], now: float) -> None:
+    def refresh(self, plans: Iterable[AccountPlan], now: float) -> None:
         """Sizes the parts by the demand that is known now."""
         for name, peer in list(self._peers_by_name.items()):
             if now - peer.heard_at > PEER_MEMORY_S:
-                del self._peers_by_name[name]
+                self.drop(name)
         names = set()
-        for account in accounts:
-            names.add(account.name)
-            if account.rate > 0.0:
-                self._resize(self._bucket(account, now), account, now)
-        for name in list(self._buckets_by_account):
+        for plan in plans:
+            names.add(plan.name)
+            if plan.rate > 0.0:
+                self._resize(self._account(plan, now), plan, now)
+        for name in list(self._accounts_by_name):
             if name not in names:
-                del self._buckets_by_account[name]
+                del self._accounts_by_name[name]
 
-    def share(self, account: AccountPlan, now: float) -> float:
+    def share(self, plan: AccountPlan, now: float) -> float:
         """Returns this gateway's part of an account's limit, 0 to 1."""
-        floor = FLOOR_SHARE * account.rate
-        meter = self._meters_by_account.get(account.name)
-        own = floor + (meter.rate(now) if meter else 0.0)
+        floor = FLOOR_SHARE * plan.rate
+        account = self._accounts_by_name.get(plan.name)
+        own = floor + (account.meter.rate(now) if account else 0.0)
         total = own
         for peer in self._peers_by_name.values():
-            total += floor + peer.demand_by_account.get(account.name, 0.0)
+            told = peer.use_by_account.get(plan.name)
+            total += floor + (told.demand if told is not None else 0.0)
         return own / total if total > 0.0 else 1.0
 
-    def _bucket(self, account: AccountPlan, now: float) -> Bucket:
-        bucket = self._buckets_by_account.get(account.name)
-        if bucket is None:
-            bucket = Bucket(now=now)
-            self._buckets_by_account[account.name] = bucket
-            self._resize(bucket, account, now)
-        return bucket
-
-    def _resize(self, bucket: Bucket, account: AccountPlan, now: float) -> None:
-        share = HANDED_OUT * self.share(account, now)
-        bucket.resize(
-            rate=share * account.rate,
-            size=max(1.0, share * account.burst),
+    def _account(self, plan: AccountPlan, now: float) -> _Account:
+        account = self._accounts_by_name.get(plan.name)
+        if account is None:
+            account = _Account(
+                meter=DemandMeter(now=now),
+                own=Bucket(now=now),
+                tokens=self._fresh_share * plan.burst,
+                at=now,
+            )
+            self._accounts_by_name[plan.name] = account
+            self._resize(account, plan, now)
+        return account
+
+    def _advance(
+        self, account: _Account, plan: AccountPlan, now: float
+    ) -> None:
+        """Refills the bucket and takes off what peers are taken to send."""
+        elapsed = max(0.0, now - account.at)
+        account.at = now
+        account.tokens += elapsed * plan.rate
+        for use in account.uses_by_peer.values():
+            account.tokens -= elapsed * use.rate
+            use.assumed += elapsed * use.rate
+        account.tokens = min(plan.burst, account.tokens)
+        account.tokens = max(-DEBT_S * plan.rate, account.tokens)
+
+    def _resize(self, account: _Account, plan: AccountPlan, now: float) -> None:
+        self._advance(account, plan, now)
+        share = self.share(plan, now)
+        account.own.resize(
+            rate=share * plan.rate,
+            size=max(1.0, share * RESERVE_SHARE * plan.burst),
             now=now,
         )
--- a/kingcupvane/settings.py
+++ b/kingcupvane/settings.py
@@ -355,7 +355,7 @@
         1.0, gt=0, description="Longest wait for one call, in seconds."
     )
     watch_s: float = Field(
-        20.0, gt=0, description="Longest wait of one watch call, in seconds."
+        2.5, gt=0, description="Longest wait of one watch call, in seconds."
     )
     lease_min_s: float = Field(
         1.0, ge=0, description="Shortest lease that it grants, in seconds."
@@ -390,6 +390,9 @@
     data_centres: dict[str, str] = Field(
         default_factory=dict, description="Region by data centre."
     )
+    first_start: bool = Field(
+        False, description="The whole fleet starts for the first time."
+    )
     store: PlatformStoreSettings = Field(description="The platform's store.")
     contact_s: float = Field(
         3.0, gt=0, description="Silence after which a peer is lost, in seconds."
