Prefer the first target of an object's order even before it is known warm

Cause: a gateway took an object for cold wherever it had not sent it itself, so the least loaded of six candidates won and objects spread over targets.

--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -72,6 +72,8 @@
 # A stopping gateway ends after this long without requests, in seconds.
 STOP_QUIET_S = 1.2
 STOP_POLL_S = 0.05
+# Time after SIGTERM at which no more connections are taken, in seconds.
+STOP_ACCEPT_S = 3.0
 # Share of the fleet's retry budget that gateways hand out together.
 BUDGET_SHARE = 0.75
 GATEWAYS_GUESS = 10
@@ -139,6 +141,7 @@
         )
         self._metrics = Metrics()
         self._stop = trio.Event()
+        self._stop_callers = trio.Event()
         self._leaving = False
         self._make_state()
         self._make_connections()
@@ -267,7 +270,7 @@
         await asgi.serve(
             self._steering.handle,
             address=self._settings.caller_address,
-            stop=self._stop,
+            stop=self._stop_callers,
             config=self._caller_config,
         )
 
@@ -693,7 +696,12 @@
                 nursery.start_soon(
                     partial(self._talk, peer.record.peer_address)
                 )
+        accept_until = min(end, started + STOP_ACCEPT_S)
         while self._clock.now() < end:
+            if self._clock.now() >= accept_until:
+                self._stop_callers.set()
+                if not self._steering.active:
+                    break
             quiet_s = self._clock.now() - max(started, self._steering.last_at)
             if not self._steering.active and quiet_s > STOP_QUIET_S:
                 break
--- a/kingcupvane/request/placement.py
+++ b/kingcupvane/request/placement.py
@@ -25,7 +25,10 @@
 WEIGHT_SAME_REGION = 0.12
 WEIGHT_OTHER_REGION = 0.05
 # Candidates that are compared for one request.
-CANDIDATES = 6
+CANDIDATES = 4
+# How much longer work on a cold object counts than it lasts, since it takes
+# the place of requests for warm ones.
+COLD_WEIGHT = 2.0
 # Round trips, in seconds, until they are measured.
 ROUND_TRIP_NEAR_S = 0.003
 ROUND_TRIP_FAR_S = 0.045
@@ -294,7 +297,7 @@
 def estimate(
     view: TargetView,
     *,
-    subject: str,
+    warm: bool,
     work: WorkEstimate,
     place: Place,
     size: int,
@@ -304,7 +307,7 @@
 
     Args:
         view: The target.
-        subject: The object that is asked for; empty for none.
+        warm: Whether it is taken to know the object.
         work: Work of the service's requests.
         place: Where the gateway stands.
         size: Bytes of the request and the expected answer.
@@ -313,12 +316,13 @@
     target = view.target
     far = target.region != place.region
     round_trip = ROUND_TRIP_FAR_S if far else ROUND_TRIP_NEAR_S
-    warm = bool(subject) and view.is_warm(subject, now)
-    own_work = (work.warm_s if warm else work.cold_s) * view.slowness
+    warm_work = work.warm_s * view.slowness
+    own_work = warm_work if warm else work.cold_s * view.slowness
     ahead = max(0.0, view.load(now) + 1.0 - target.slots)
-    wait = ahead * work.warm_s * view.slowness / target.slots
+    wait = ahead * warm_work / target.slots
     finish = round_trip + wait + own_work
     cost = finish + view.failure_share * FAILURE_COST_S
+    cost += (COLD_WEIGHT - 1.0) * (own_work - warm_work)
     if target.data_centre != place.data_centre:
         cost += size * CROSSING_S_PER_BYTE
     return Candidate(view=view, finish_s=finish, cost_s=cost, wait_s=wait)
@@ -336,6 +340,8 @@
 ) -> Candidate | None:
     """Returns the best of the first usable candidates, None without any.
 
+    The first one is taken to know the object, since all gateways prefer it.
+
     Args:
         ranking: Targets, the best rank first.
         subject: The object that is asked for; empty for none.
@@ -353,7 +359,12 @@
         if view.is_avoided(now):
             continue
         found = estimate(
-            view, subject=subject, work=work, place=place, size=size, now=now
+            view,
+            warm=best is None or view.is_warm(subject, now),
+            work=work,
+            place=place,
+            size=size,
+            now=now,
         )
         if best is None or found.cost_s < best.cost_s:
             best = found
--- a/kingcupvane/request/steering.py
+++ b/kingcupvane/request/steering.py
@@ -23,6 +23,7 @@
     end_to_end,
 )
 from kingcupvane.errors import Executed, Refusal, Step
+from kingcupvane.hashing import spread
 from kingcupvane.process.catalog import Catalog
 from kingcupvane.process.evidence import EvidenceCounter
 from kingcupvane.process.rollout import (
@@ -51,6 +52,8 @@
 USEFUL_MIN_S = 0.02
 # Targets that one request may be sent to at most, refusals included.
 SENDS_MAX = 4
+# Orders of targets among which requests without an object are spread.
+SPREADS = 64
 # Bytes of an answer before any was seen.
 ANSWER_BYTES = 2000
 SERVER_ERROR_MIN = 500
@@ -130,6 +133,13 @@
     sends: list[str] = field(default_factory=list)
     runs: int = 0
 
+    @property
+    def ranked_by(self) -> str:
+        """What the order of targets goes by: the object, or chance."""
+        if self.subject:
+            return self.subject
+        return f"any/{spread(self.attempt_id.decode('latin-1')) % SPREADS}"
+
     @property
     def account_name(self) -> str:
         """Name of the client account; empty on open routes."""
@@ -511,7 +521,7 @@
             if not usable:
                 continue
             candidate = choose(
-                self._catalog.ranking(service, passage.subject or "any"),
+                self._catalog.ranking(service, passage.ranked_by),
                 subject=passage.subject,
                 usable=usable,
                 work=self._catalog.work(service),
@@ -570,7 +580,7 @@
         catalog.cold.count(
             target.name, rate=catalog.cold_rate(target.service), now=started
         )
-        warm = bool(passage.subject) and view.is_warm(passage.subject, started)
+        warm = view.is_warm(passage.subject, started)
         queued = view.load(started) >= target.slots
         view.start(passage.subject, started)
         attempt = Attempt(ending=Ending.CANCELLED)
