--- a/kingcupvane/connection/messages.py
+++ b/kingcupvane/connection/messages.py
@@ -239,6 +239,7 @@
         as_of: Store revision of its copy of the store.
         feed: Where its copy of the store comes from.
         use: What its callers ask for and get, by client account.
+        demand: Requests a second that its callers send, by service.
         crashes: Requests in whose presence targets died.
         states: What is decided about rollouts.
         rollouts: How long rollouts run.
@@ -250,6 +251,7 @@
     as_of: int
     feed: Feed = Feed.PEERS
     use: dict[str, AccountUse] = {}
+    demand: dict[str, float] = {}
     crashes: list[str] = []
     states: list[MoveState] = []
     rollouts: list[RolloutProgress] = []
--- a/kingcupvane/process/catalog.py
+++ b/kingcupvane/process/catalog.py
@@ -11,11 +11,14 @@
 from kingcupvane.process.timeline import Timeline
 from kingcupvane.request.cold import ColdLimiter
 from kingcupvane.request.placement import (
+    BULK_BYTES,
     Place,
     RankCache,
     TargetView,
     WorkEstimate,
 )
+from kingcupvane.request.quota import DemandMeter
+from kingcupvane.request.spill import RegionLoad, SpillControl
 from kingcupvane.version.plan import (
     RegisteredTarget,
     RolloutOrder,
@@ -25,6 +28,8 @@
 
 # Time after the store's return in which a live target is back in it, in s.
 RETURN_GRACE_S = 2.2
+# Time constant of the demand by service, in seconds.
+DEMAND_S = 3.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -133,6 +138,8 @@
         self._views_by_name: dict[str, TargetView] = {}
         self._views_by_service: dict[str, list[TargetView]] = {}
         self._removed_at: dict[str, float] = {}
+        self._meters_by_service: dict[str, DemandMeter] = {}
+        self._spill_by_service: dict[str, SpillControl] = {}
         self._ranks = RankCache(place=place)
         self._store_seen_from = float("-inf")
 
@@ -170,9 +177,72 @@
         """Returns all registered targets."""
         return self._views_by_name
 
-    def ranking(self, service: str, subject: str) -> list[TargetView]:
-        """Returns the targets of a service in their order for an object."""
-        return self._ranks.get(service, subject, self.views(service))
+    def ranking(
+        self, service: str, subject: str, *, size: int
+    ) -> list[TargetView]:
+        """Returns the targets of a service in their order for an object.
+
+        Args:
+            service: Name of the service.
+            subject: The object.
+            size: Bytes of the request and the expected answer.
+        """
+        return self._ranks.get(
+            service, subject, self.views(service), bulk=size >= BULK_BYTES
+        )
+
+    def count_request(self, service: str) -> None:
+        """Counts a request that callers of this gateway send for a service."""
+        now = self._clock.now()
+        meter = self._meters_by_service.get(service)
+        if meter is None:
+            meter = DemandMeter(now=now, constant_s=DEMAND_S)
+            self._meters_by_service[service] = meter
+        meter.add(now)
+
+    def demand(self) -> dict[str, float]:
+        """Returns the requests a second by service at this gateway."""
+        now = self._clock.now()
+        return {
+            service: round(meter.rate(now), 2)
+            for service, meter in self._meters_by_service.items()
+        }
+
+    def balance(
+        self, demand_by_region: Mapping[str, Mapping[str, float]]
+    ) -> None:
+        """Adapts what goes to other regions, one step.
+
+        Args:
+            demand_by_region: Requests a second by region and service.
+        """
+        for service, views in self._views_by_service.items():
+            slots: dict[str, int] = {}
+            for view in views:
+                if self._is_in_use(view.target):
+                    region = view.target.region
+                    slots[region] = slots.get(region, 0) + view.target.slots
+            regions = {*slots, self.place.region}
+            loads = {
+                region: RegionLoad(
+                    demand=demand_by_region.get(region, {}).get(service, 0.0),
+                    slots=slots.get(region, 0),
+                )
+                for region in regions
+            }
+            control = self._spill_by_service.get(service)
+            if control is None:
+                control = SpillControl(region=self.place.region)
+                self._spill_by_service[service] = control
+            part = control.update(loads, work_s=self.work(service).warm_s)
+            weights = {
+                region: share / max(1, slots.get(region, 0))
+                for region, share in part.by_region.items()
+            }
+            self._ranks.weigh(service, weights)
+
+    def _is_in_use(self, target: RegisteredTarget) -> bool:
+        return not target.leaving and target.data_centre not in self.evacuated
 
     def work(self, service: str) -> WorkEstimate:
         """Returns the work of a service's requests."""
--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -391,6 +391,7 @@
             as_of=self._mirror.as_of,
             feed=self._feed.feed,
             use=self._quota.use(now),
+            demand=self._catalog.demand(),
             crashes=self._crashes.shared(),
             states=list(self._rollouts.states_by_name.values()),
             rollouts=[
@@ -493,9 +494,25 @@
             )
             if now - swept_at > SWEEP_PERIOD_S:
                 swept_at = now
+                self._catalog.balance(self._demand_by_region(now))
                 await self._pool.sweep(self._catalog.views_by_name())
             await trio.sleep(UPKEEP_PERIOD_S)
 
+    def _demand_by_region(self, now: float) -> dict[str, dict[str, float]]:
+        """Returns the requests a second by region and service."""
+        total: dict[str, dict[str, float]] = {}
+
+        def add(region: str, demand: dict[str, float]) -> None:
+            sums = total.setdefault(region, {})
+            for service, rate in demand.items():
+                sums[service] = sums.get(service, 0.0) + rate
+
+        add(self._settings.region, self._catalog.demand())
+        for peer in self._peers.live(now):
+            if peer.report is not None:
+                add(peer.record.region, peer.report.demand)
+        return total
+
     def _is_store_watched(self, now: float) -> bool:
         """Returns whether this or another gateway reaches the store."""
         if self._feed.feed is Feed.STORE:
--- a/kingcupvane/request/placement.py
+++ b/kingcupvane/request/placement.py
@@ -19,11 +19,14 @@
 from kingcupvane.hashing import spread
 from kingcupvane.version.plan import RegisteredTarget
 
-# Share of the objects of a data centre that its own targets rank first for,
-# against those of its region and of other regions.
-WEIGHT_SAME_DATA_CENTRE = 1.0
-WEIGHT_SAME_REGION = 0.12
-WEIGHT_OTHER_REGION = 0.05
+# Weight of a region's other data centres for requests of many bytes, against
+# the gateway's own data centre. Small requests share targets region-wide, so
+# that an object gets warm in one place only.
+WEIGHT_NEIGHBOUR_BULK = 0.1
+# Bytes from which a request counts as bulk.
+BULK_BYTES = 20_000
+# Least weight of a target, so that all targets have a rank.
+WEIGHT_MIN = 1e-4
 # Candidates that are compared for one request.
 CANDIDATES = 4
 # How much longer work on a cold object counts than it lasts, since it takes
@@ -239,17 +242,36 @@
     region: str
 
 
-def nearness(place: Place, target: RegisteredTarget) -> float:
-    """Returns the weight of a target in the ranking of a gateway."""
-    if target.data_centre == place.data_centre:
-        return WEIGHT_SAME_DATA_CENTRE
-    if target.region == place.region:
-        return WEIGHT_SAME_REGION
-    return WEIGHT_OTHER_REGION
+def nearness(
+    place: Place,
+    target: RegisteredTarget,
+    parts: Mapping[str, float] | None,
+    *,
+    bulk: bool,
+) -> float:
+    """Returns the weight of a target in the ranking of a gateway.
+
+    Args:
+        place: Where the gateway stands.
+        target: The target.
+        parts: Weight of a slot by region; None for the own region only.
+        bulk: Whether the requests are large.
+    """
+    own = target.region == place.region
+    default = 1.0 if own else 0.0
+    weight = default if parts is None else parts.get(target.region, 0.0)
+    if bulk and own and target.data_centre != place.data_centre:
+        weight *= WEIGHT_NEIGHBOUR_BULK
+    return max(WEIGHT_MIN, weight)
 
 
 def ranked(
-    views: Iterable[TargetView], *, subject: str, place: Place
+    views: Iterable[TargetView],
+    *,
+    subject: str,
+    place: Place,
+    parts: Mapping[str, float] | None = None,
+    bulk: bool = False,
 ) -> list[TargetView]:
     """Returns targets by weighted rendezvous hashing, the best first.
 
@@ -257,37 +279,62 @@
         views: The targets.
         subject: The object that is asked for.
         place: Where the gateway stands.
+        parts: Weight of a slot by region; None for the own region only.
+        bulk: Whether the requests are large.
     """
 
     def score(view: TargetView) -> float:
         target = view.target
         draw = (spread(f"{subject}/{target.name}") + 1) / (UNIT + 2)
-        return math.log(draw) / (target.slots * nearness(place, target))
+        weight = nearness(place, target, parts, bulk=bulk)
+        return math.log(draw) / (target.slots * weight)
 
     return sorted(views, key=score, reverse=True)
 
 
 class RankCache:
-    """Remembers rankings for as long as the set of targets stays the same."""
+    """Remembers rankings while targets and weights stay the same."""
 
     def __init__(self, *, place: Place, capacity: int = 4096):
         """Starts empty."""
         self._place = place
         self._capacity = capacity
-        self._ranking_by_subject: dict[tuple[str, str], list[TargetView]] = {}
+        self._parts_by_service: dict[str, Mapping[str, float]] = {}
+        self._ranking_by_subject: dict[
+            tuple[str, str, bool], list[TargetView]
+        ] = {}
 
     def clear(self) -> None:
         """Forgets all rankings, since targets came or went."""
         self._ranking_by_subject.clear()
 
+    def weigh(self, service: str, parts: Mapping[str, float]) -> None:
+        """Sets the weight of a service's slots by region."""
+        if self._parts_by_service.get(service) == parts:
+            return
+        self._parts_by_service[service] = parts
+        for key in [k for k in self._ranking_by_subject if k[0] == service]:
+            del self._ranking_by_subject[key]
+
     def get(
-        self, service: str, subject: str, views: Sequence[TargetView]
+        self,
+        service: str,
+        subject: str,
+        views: Sequence[TargetView],
+        *,
+        bulk: bool,
     ) -> list[TargetView]:
         """Returns the ranking of a service's targets for an object."""
-        key = (service, subject)
+        key = (service, subject, bulk)
         ranking = self._ranking_by_subject.get(key)
         if ranking is None:
-            ranking = ranked(views, subject=subject, place=self._place)
+            ranking = ranked(
+                views,
+                subject=subject,
+                place=self._place,
+                parts=self._parts_by_service.get(service),
+                bulk=bulk,
+            )
             if len(self._ranking_by_subject) >= self._capacity:
                 self.clear()
             self._ranking_by_subject[key] = ranking
--- a/kingcupvane/request/quota.py
+++ b/kingcupvane/request/quota.py
@@ -49,15 +49,21 @@
 class DemandMeter:
     """Smoothed requests a second."""
 
-    def __init__(self, *, now: float):
-        """Starts without demand."""
+    def __init__(self, *, now: float, constant_s: float = DEMAND_S):
+        """Starts without demand.
+
+        Args:
+            now: Monotonic seconds.
+            constant_s: Time constant of the smoothing, in seconds.
+        """
+        self._constant_s = constant_s
         self._rate = 0.0
         self._at = now
 
     def add(self, now: float) -> None:
         """Counts a request."""
         self._decay(now)
-        self._rate += 1.0 / DEMAND_S
+        self._rate += 1.0 / self._constant_s
 
     def rate(self, now: float) -> float:
         """Returns the demand, in requests a second."""
@@ -66,7 +72,7 @@
 
     def _decay(self, now: float) -> None:
         age = max(0.0, now - self._at)
-        self._rate *= math.exp(-age / DEMAND_S)
+        self._rate *= math.exp(-age / self._constant_s)
         self._at = now
 
 
@@ -193,6 +199,17 @@
             return 0.0
         return self._account(plan, now).own.wait_s(now)
 
+    def explain(self, plan: AccountPlan, now: float) -> str:
+        """Returns the figures that decide about an account now."""
+        account = self._account(plan, now)
+        return (
+            f"account {plan.name} rate {plan.rate:g} burst {plan.burst:g}"
+            f" left {account.tokens:.1f} own share"
+            f" {self.share(plan, now):.3f}"
+            f" demand {account.meter.rate(now):.1f}"
+            f" peers {len(account.uses_by_peer)}"
+        )
+
     def refresh(self, plans: Iterable[AccountPlan], now: float) -> None:
         """Sizes the parts by the demand that is known now."""
         for name, peer in list(self._peers_by_name.items()):
--- a/kingcupvane/request/steering.py
+++ b/kingcupvane/request/steering.py
@@ -409,10 +409,12 @@
                     "over-rate",
                     Step.ADMIT,
                     retry_after_s=wait,
+                    detail=self._quota.explain(account, now),
                 )
             )
         passage.service = self._picker.pick(passage.route)
         self._budgets.of(passage.service).earn()
+        self._catalog.count_request(passage.service)
         return Ok(None)
 
     async def _serve(self, passage: Passage) -> Result[WireAnswer, Refusal]:
@@ -521,7 +523,7 @@
             if not usable:
                 continue
             candidate = choose(
-                self._catalog.ranking(service, passage.ranked_by),
+                self._catalog.ranking(service, passage.ranked_by, size=size),
                 subject=passage.subject,
                 usable=usable,
                 work=self._catalog.work(service),
