Bound what gateways take from a shared bucket between reports

Causes: parts of silent peers were frozen after own demand had grown; a restarted gateway took the whole rate until it heard peers; all gateways spent the same burst between two reports.

--- a/kingcupvane/request/placement.py
+++ b/kingcupvane/request/placement.py
@@ -388,6 +388,8 @@
     """Returns the best of the first usable candidates, None without any.
 
     The first one is taken to know the object, since all gateways prefer it.
+    A target that does not know it is used only while it has a free slot: cold
+    work in a queue would hold up work for warm objects.
 
     Args:
         ranking: Targets, the best rank first.
@@ -405,9 +407,12 @@
             continue
         if view.is_avoided(now):
             continue
+        warm = best is None or view.is_warm(subject, now)
+        if not warm and view.load(now) + 1.0 > view.target.slots:
+            continue
         found = estimate(
             view,
-            warm=best is None or view.is_warm(subject, now),
+            warm=warm,
             work=work,
             place=place,
             size=size,
--- a/kingcupvane/request/quota.py
+++ b/kingcupvane/request/quota.py
@@ -24,10 +24,21 @@
 DEMAND_S = 1.0
 # Demand that each gateway has in any case, as a share of the account's rate.
 FLOOR_SHARE = 0.02
+# Silence after which a peer is taken to use its whole part, in seconds.
+SILENT_S = 0.7
 # Time for which a silent peer is taken to go on, in seconds.
-PEER_MEMORY_S = 20.0
+PEER_MEMORY_S = 12.0
+# Time after a start in which a gateway may not know all peers, in seconds,
+# and the part that it takes meanwhile.
+SETTLE_S = 2.0
+SETTLE_SHARE = 0.1
+# Part of its rate that a gateway uses while the bucket is in debt.
+DEBT_RATE = 0.8
 # Part of the burst below which gateways keep to their own part of the rate.
 RESERVE_SHARE = 0.25
+# Requests that a gateway may take from a well filled bucket in any case
+# between two looks at what peers took.
+ALLOWANCE_MIN = 2.0
 # Requests below which the reserve does not fall.
 RESERVE_MIN = 2.0
 # Largest debt of a bucket, in seconds of its rate.
@@ -81,6 +92,18 @@
     heard_at: float
     incarnation: int
     use_by_account: Mapping[str, AccountUse] = field(default_factory=dict)
+    part_by_account: dict[str, float] = field(default_factory=dict)
+    is_noted: bool = False
+
+    def is_silent(self, now: float) -> bool:
+        """Returns whether its reports have stopped."""
+        return now - self.heard_at > SILENT_S
+
+    def demand(self, plan: AccountPlan) -> float:
+        """Returns its demand with the floor, in requests a second."""
+        told = self.use_by_account.get(plan.name)
+        floor = FLOOR_SHARE * plan.rate
+        return floor + (told.demand if told is not None else 0.0)
 
 
 @dataclass(kw_only=True, slots=True)
@@ -104,6 +127,8 @@
     own: Bucket
     tokens: float
     at: float
+    allowance: float = 0.0
+    reserve: float = 0.0
     admitted: int = 0
     uses_by_peer: dict[str, _PeerUse] = field(default_factory=dict)
 
@@ -120,6 +145,8 @@
                 nothing was spent yet.
         """
         self._fresh_share = 1.0 if started_with_fleet else 0.0
+        settle_s = 0.0 if started_with_fleet else SETTLE_S
+        self._settled_at = now + settle_s
         self._accounts_by_name: dict[str, _Account] = {}
         self._peers_by_name: dict[str, _Peer] = {}
 
@@ -134,7 +161,10 @@
         """Takes in what a peer's callers ask for and what it admitted."""
         before = self._peers_by_name.get(peer)
         self._peers_by_name[peer] = _Peer(
-            heard_at=now, incarnation=incarnation, use_by_account=use
+            heard_at=now,
+            incarnation=incarnation,
+            use_by_account=use,
+            part_by_account=before.part_by_account if before else {},
         )
         same = before is not None and before.incarnation == incarnation
         for name, account in self._accounts_by_name.items():
@@ -186,8 +216,10 @@
         if plan.rate <= 0.0:
             return True
         self._advance(account, plan, now)
-        reserve = max(RESERVE_MIN, RESERVE_SHARE * plan.burst)
-        if account.tokens < reserve and not account.own.take(now):
+        shared = account.tokens >= account.reserve and account.allowance >= 1.0
+        if shared and now >= self._settled_at:
+            account.allowance -= 1.0
+        elif not account.own.take(now):
             return False
         account.tokens -= 1.0
         account.admitted += 1
@@ -220,20 +252,41 @@
             names.add(plan.name)
             if plan.rate > 0.0:
                 self._resize(self._account(plan, now), plan, now)
+        for peer in self._peers_by_name.values():
+            peer.is_noted = True
         for name in list(self._accounts_by_name):
             if name not in names:
                 del self._accounts_by_name[name]
 
     def share(self, plan: AccountPlan, now: float) -> float:
         """Returns this gateway's part of an account's limit, 0 to 1."""
-        floor = FLOOR_SHARE * plan.rate
+        share = self._own_demand(plan, now) / self._heard_demand(plan, now)
+        share *= 1.0 - self._silent_part(plan, now)
+        if now < self._settled_at:
+            return min(SETTLE_SHARE, share)
+        return share
+
+    def _own_demand(self, plan: AccountPlan, now: float) -> float:
+        floor = max(0.01, FLOOR_SHARE * plan.rate)
         account = self._accounts_by_name.get(plan.name)
-        own = floor + (account.meter.rate(now) if account else 0.0)
-        total = own
+        return floor + (account.meter.rate(now) if account else 0.0)
+
+    def _heard_demand(self, plan: AccountPlan, now: float) -> float:
+        """Returns the demand at all gateways that report."""
+        total = self._own_demand(plan, now)
         for peer in self._peers_by_name.values():
-            told = peer.use_by_account.get(plan.name)
-            total += floor + (told.demand if told is not None else 0.0)
-        return own / total if total > 0.0 else 1.0
+            if not peer.is_silent(now):
+                total += peer.demand(plan)
+        return total
+
+    def _silent_part(self, plan: AccountPlan, now: float) -> float:
+        """Returns the part that silent peers had when last heard."""
+        parts = [
+            peer.part_by_account.get(plan.name, 0.0)
+            for peer in self._peers_by_name.values()
+            if peer.is_silent(now)
+        ]
+        return min(1.0, sum(parts))
 
     def _account(self, plan: AccountPlan, now: float) -> _Account:
         account = self._accounts_by_name.get(plan.name)
@@ -258,14 +311,41 @@
         for use in account.uses_by_peer.values():
             account.tokens -= elapsed * use.rate
             use.assumed += elapsed * use.rate
-        account.tokens = min(plan.burst, account.tokens)
+        most = plan.burst if now >= self._settled_at else 0.0
+        account.tokens = min(most, account.tokens)
         account.tokens = max(-DEBT_S * plan.rate, account.tokens)
 
     def _resize(self, account: _Account, plan: AccountPlan, now: float) -> None:
         self._advance(account, plan, now)
+        self._note_parts(account, plan, now)
         share = self.share(plan, now)
+        reserve = max(RESERVE_MIN, RESERVE_SHARE * plan.burst)
+        account.reserve = reserve + self._silent_part(plan, now) * plan.burst
+        spare = account.tokens - account.reserve
+        account.allowance = max(ALLOWANCE_MIN, share * spare)
+        pace = 1.0 if account.tokens >= 0.0 else DEBT_RATE
         account.own.resize(
-            rate=share * plan.rate,
+            rate=pace * share * plan.rate,
             size=max(1.0, share * RESERVE_SHARE * plan.burst),
             now=now,
         )
+
+    def _note_parts(
+        self, account: _Account, plan: AccountPlan, now: float
+    ) -> None:
+        """Keeps the parts of peers; a silent one is taken to use its part.
+
+        The part is that of the time of the peer's report: later our own
+        demand may have grown while the peer's is no longer heard.
+        """
+        total = self._heard_demand(plan, now)
+        rest = 1.0 - self._silent_part(plan, now)
+        for name, peer in self._peers_by_name.items():
+            if not peer.is_noted:
+                part = rest * peer.demand(plan) / total
+                peer.part_by_account[plan.name] = part
+            if not peer.is_silent(now):
+                continue
+            use = account.uses_by_peer.setdefault(name, _PeerUse())
+            part = peer.part_by_account.get(plan.name, 0.0)
+            use.rate = part * plan.rate
--- a/kingcupvane/request/steering.py
+++ b/kingcupvane/request/steering.py
@@ -43,6 +43,12 @@
 from kingcupvane.request.quota import QuotaDivision
 from kingcupvane.request.retry import CrashRegistry, RetryBudget, fingerprint
 from kingcupvane.request.routing import ShareCounter
+from kingcupvane.request.waiting import (
+    RETRY_AFTER_MAX_S,
+    DeadlineMemory,
+    allowed_wait_s,
+    retry_after_s,
+)
 from kingcupvane.version.move import VersionShare
 from kingcupvane.version.plan import AccountPlan, RoutePlan
 
@@ -57,9 +63,6 @@
 # Bytes of an answer before any was seen.
 ANSWER_BYTES = 2000
 SERVER_ERROR_MIN = 500
-# Longest Retry-After that is sent, in seconds.
-RETRY_AFTER_MAX_S = 2.0
-RETRY_AFTER_MIN_S = 0.05
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -113,6 +116,7 @@
         deadline: Monotonic time by which the answer is due, in seconds.
         attempt_id: Id of the caller's attempt.
         subject: The object that it concerns; empty for none.
+        returning: It was refused before and came back.
         body: The whole body.
         print_: Equal for repeats of the request.
         service: Service that it goes to.
@@ -127,6 +131,7 @@
     deadline: float
     attempt_id: bytes
     subject: str
+    returning: bool = False
     body: bytes = b""
     print_: str = ""
     service: str = ""
@@ -275,6 +280,7 @@
         self._tell = tell
         self._suspect = suspect
         self._picker = DestinationPicker()
+        self._deadlines = DeadlineMemory()
         self._shares_by_service: dict[str, ShareCounter] = {}
         self._answer_bytes_by_route: dict[str, float] = {}
         self.active = 0
@@ -358,6 +364,7 @@
         given = request.headers.get(names.deadline.decode(), "")
         if given.isdigit():
             waits = min(waits, int(given) / MILLISECONDS_PER_SECOND)
+        returning = self._deadlines.is_returning(route.name, waits)
         subject = _cookie(
             request.headers.get("cookie", ""), names.subject_cookie
         )
@@ -368,6 +375,7 @@
                 account=account,
                 arrived_at=now,
                 deadline=now + waits,
+                returning=returning,
                 attempt_id=request.headers.get(
                     names.attempt.decode(), ""
                 ).encode(),
@@ -428,8 +436,16 @@
             candidate, side = self._place(passage, now)
             if candidate is None:
                 return Err(self._give_up(passage, last, "no target is free"))
-            if candidate.finish_s > left and candidate.wait_s > 0.0:
-                return Err(self._give_up(passage, last, "the wait is too long"))
+            allowed = allowed_wait_s(
+                candidate,
+                objective_s=passage.route.objective_s,
+                elapsed_s=now - passage.arrived_at,
+                left_s=left,
+                returning=passage.returning,
+            )
+            if candidate.wait_s > allowed:
+                why = f"wait {candidate.wait_s:.3f} s allowed {allowed:.3f} s"
+                return Err(self._give_up(passage, last, why))
             if last is not None and not self._may_repeat(passage, last):
                 return self._settle(passage, last)
             last = await self._attempt(passage, candidate.view, side)
@@ -497,8 +513,9 @@
         for view in self._catalog.views(passage.service):
             ahead = max(0.0, view.load(now) + 1.0 - view.target.slots)
             waits.append(ahead * work.warm_s / view.target.slots)
-        shortest = min(waits, default=0.3)
-        return min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_MIN_S, shortest))
+        return retry_after_s(
+            min(waits, default=0.3), attempt_id=passage.attempt_id.decode()
+        )
 
     def _place(
         self, passage: Passage, now: float
