Learn work from answers that did not queue; follow reported load

Cause: with standing queues the learned warm work rose from 0.108 to 0.69 s, so warm and cold looked alike and objects spread to every rank; load was taken for 4.7 where targets reported 9.4.

--- a/kingcupvane/request/placement.py
+++ b/kingcupvane/request/placement.py
@@ -43,8 +43,11 @@
 WARM_S = 20.0
 # Weight of a new sample in the smoothed figures.
 SMOOTHING = 0.15
-LOAD_SMOOTHING = 0.3
+LOAD_SMOOTHING = 0.5
 WORK_DEFAULT_S = 0.2
+SLOWNESS_MIN = 0.5
+SLOWNESS_MAX = 20.0
+RATIO_MAX = 4.0
 # Ejection after failures in a row, and its length in seconds.
 FAILURES_TO_EJECT = 3
 EJECT_MIN_S = 0.5
@@ -54,7 +57,7 @@
 # The share of failures that a target's cost counts as this much delay, in s.
 FAILURE_COST_S = 1.0
 # A target's load that others cause is forgotten with this time constant, in s.
-LOAD_DECAY_S = 1.0
+LOAD_DECAY_S = 3.0
 UNIT = 2.0**64
 
 
@@ -163,7 +166,8 @@
 
         Args:
             ending: How it ended.
-            ratio: Its time against what was expected; 0 when not known.
+            ratio: Its time against what was expected of this target; 0 when
+                not known.
             reported: What the target says of its load.
             now: Monotonic seconds.
 
@@ -194,7 +198,9 @@
         self._eject_s = EJECT_MIN_S
         self.failure_share *= 1.0 - SMOOTHING
         if ratio > 0.0:
-            self.slowness += SMOOTHING * (ratio - self.slowness)
+            change = SMOOTHING * self.slowness * (ratio - 1.0)
+            grown = self.slowness + change
+            self.slowness = min(SLOWNESS_MAX, max(SLOWNESS_MIN, grown))
 
     def _note_failure(self, weight: float) -> None:
         self.failure_share += SMOOTHING * (weight - self.failure_share)
@@ -226,12 +232,16 @@
         finish_s: Expected time until the answer, in seconds.
         cost_s: What the choice goes by, in seconds.
         wait_s: Part of it that the request waits for a slot, in seconds.
+        trip_s: Part of it on the way there and back, in seconds.
+        warm: Whether the target is taken to know the object.
     """
 
     view: TargetView
     finish_s: float
     cost_s: float
     wait_s: float
+    trip_s: float
+    warm: bool
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -372,7 +382,42 @@
     cost += (COLD_WEIGHT - 1.0) * (own_work - warm_work)
     if target.data_centre != place.data_centre:
         cost += size * CROSSING_S_PER_BYTE
-    return Candidate(view=view, finish_s=finish, cost_s=cost, wait_s=wait)
+    return Candidate(
+        view=view,
+        finish_s=finish,
+        cost_s=cost,
+        wait_s=wait,
+        trip_s=round_trip,
+        warm=warm,
+    )
+
+
+def ratio_of(candidate: Candidate, seconds: float) -> float:
+    """Returns how long an exchange took against what was expected."""
+    expected = candidate.finish_s - candidate.trip_s
+    spent = max(0.0, seconds - candidate.trip_s)
+    return min(RATIO_MAX, spent / expected) if expected > 0.0 else 0.0
+
+
+def learn_work(
+    work: WorkEstimate,
+    candidate: Candidate,
+    reported: ReportedLoad | None,
+    seconds: float,
+) -> None:
+    """Takes in how long a target worked, unless the request had to queue.
+
+    Args:
+        work: Estimate of the service.
+        candidate: The target and what was expected of it.
+        reported: What the target says of its load.
+        seconds: How long the exchange took.
+    """
+    queued = candidate.wait_s > 0.0 or (reported and reported.waiting > 0)
+    if queued:
+        return
+    spent = max(0.0, seconds - candidate.trip_s)
+    work.add(warm=candidate.warm, seconds=spent / candidate.view.slowness)
 
 
 def choose(
--- a/kingcupvane/request/steering.py
+++ b/kingcupvane/request/steering.py
@@ -39,6 +39,8 @@
     ReportedLoad,
     TargetView,
     choose,
+    learn_work,
+    ratio_of,
 )
 from kingcupvane.request.quota import QuotaDivision
 from kingcupvane.request.retry import CrashRegistry, RetryBudget, fingerprint
@@ -448,7 +450,7 @@
                 return Err(self._give_up(passage, last, why))
             if last is not None and not self._may_repeat(passage, last):
                 return self._settle(passage, last)
-            last = await self._attempt(passage, candidate.view, side)
+            last = await self._attempt(passage, candidate, side)
             if last.ending is Ending.ANSWERED:
                 return self._settle(passage, last)
             if not self._is_worth_repeating(passage, last):
@@ -588,9 +590,10 @@
             yield view
 
     async def _attempt(
-        self, passage: Passage, view: TargetView, side: str
+        self, passage: Passage, candidate: Candidate, side: str
     ) -> Attempt:
         catalog = self._catalog
+        view = candidate.view
         target = view.target
         started = self._clock.now()
         passage.sends.append(target.name)
@@ -599,39 +602,26 @@
         catalog.cold.count(
             target.name, rate=catalog.cold_rate(target.service), now=started
         )
-        warm = view.is_warm(passage.subject, started)
-        queued = view.load(started) >= target.slots
         view.start(passage.subject, started)
         attempt = Attempt(ending=Ending.CANCELLED)
         try:
             attempt = await self._exchange(passage, view)
         finally:
-            now = self._clock.now()
-            seconds = now - started
-            self._note(
-                passage, view, attempt, seconds, warm=warm, queued=queued
-            )
+            seconds = self._clock.now() - started
+            self._note(passage, candidate, attempt, seconds)
         return attempt
 
     def _note(
         self,
         passage: Passage,
-        view: TargetView,
+        candidate: Candidate,
         attempt: Attempt,
         seconds: float,
-        *,
-        warm: bool,
-        queued: bool,
     ) -> None:
         """Takes in what an attempt showed of its target."""
         now = self._clock.now()
-        work = self._catalog.work(passage.service)
-        expected = work.warm_s if warm else work.cold_s
+        view = candidate.view
         answered = attempt.ending is Ending.ANSWERED
-        ratio = 0.0
-        if answered and not queued:
-            ratio = min(10.0, seconds / expected) if expected else 0.0
-            work.add(warm=warm, seconds=seconds)
         reported = None
         if attempt.answer is not None:
             reported = _reported(attempt.answer.header(self._names.load))
@@ -639,6 +629,11 @@
             name = passage.route.name
             before = self._answer_bytes_by_route.get(name, ANSWER_BYTES)
             self._answer_bytes_by_route[name] = before + 0.1 * (size - before)
+        ratio = 0.0
+        if answered:
+            ratio = ratio_of(candidate, seconds)
+            work = self._catalog.work(passage.service)
+            learn_work(work, candidate, reported, seconds)
         ejected = view.finish(
             attempt.ending, ratio=ratio, reported=reported, now=now
         )
