Let an unseen object cost rank instead of taking the first target for warm

Cause: at the start, and after each change of targets, the first target was taken for warm although nothing was, so requests queued there; and a first guess of 0.2 s for all work turned into slowness of all targets.

--- a/kingcupvane/request/placement.py
+++ b/kingcupvane/request/placement.py
@@ -13,8 +13,8 @@
 import enum
 import math
 from collections import OrderedDict
-from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from dataclasses import dataclass, replace
 
 from kingcupvane.hashing import spread
 from kingcupvane.version.plan import RegisteredTarget
@@ -44,7 +44,14 @@
 # Weight of a new sample in the smoothed figures.
 SMOOTHING = 0.15
 LOAD_SMOOTHING = 0.5
-WORK_DEFAULT_S = 0.2
+# Work that is assumed before any was seen, in seconds.
+WORK_WARM_S = 0.15
+WORK_COLD_S = 0.4
+# Answers after which the work of a service counts as known.
+WORK_SAMPLES = 20
+# What a later rank costs for an object that nobody is known to have served:
+# all gateways should then warm the same target, unless it has a queue.
+RANK_COST_S = 0.08
 SLOWNESS_MIN = 0.5
 SLOWNESS_MAX = 20.0
 RATIO_MAX = 4.0
@@ -98,14 +105,28 @@
 
     def __init__(self):
         """Starts with a guess that the first answers replace."""
-        self.warm_s = WORK_DEFAULT_S
-        self.cold_s = WORK_DEFAULT_S
-
-    def add(self, *, warm: bool, seconds: float) -> None:
-        """Takes in how long a target worked on a request."""
-        if warm:
-            self.warm_s += SMOOTHING * (seconds - self.warm_s)
-        else:
+        self.warm_s = WORK_WARM_S
+        self.cold_s = WORK_COLD_S
+        self._samples = 0
+
+    @property
+    def is_known(self) -> bool:
+        """Whether enough answers for warm objects were seen."""
+        return self._samples >= WORK_SAMPLES
+
+    def add(self, *, known: bool, seconds: float) -> None:
+        """Takes in how long a target worked on a request.
+
+        Args:
+            known: Whether this gateway knows that the object was warm. If
+                not, another one may have warmed it: a short time says so.
+            seconds: Time that the target worked.
+        """
+        if known:
+            self._samples += 1
+            weight = max(SMOOTHING, 1.0 / self._samples)
+            self.warm_s += weight * (seconds - self.warm_s)
+        elif seconds > 0.5 * (self.warm_s + self.cold_s):
             self.cold_s += SMOOTHING * (seconds - self.cold_s)
 
 
@@ -233,7 +254,7 @@
         cost_s: What the choice goes by, in seconds.
         wait_s: Part of it that the request waits for a slot, in seconds.
         trip_s: Part of it on the way there and back, in seconds.
-        warm: Whether the target is taken to know the object.
+        known: Whether this gateway has sent the object there lately.
     """
 
     view: TargetView
@@ -241,7 +262,7 @@
     cost_s: float
     wait_s: float
     trip_s: float
-    warm: bool
+    known: bool
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -355,6 +376,7 @@
     view: TargetView,
     *,
     warm: bool,
+    known: bool,
     work: WorkEstimate,
     place: Place,
     size: int,
@@ -365,6 +387,7 @@
     Args:
         view: The target.
         warm: Whether it is taken to know the object.
+        known: Whether this gateway has sent the object there lately.
         work: Work of the service's requests.
         place: Where the gateway stands.
         size: Bytes of the request and the expected answer.
@@ -388,7 +411,7 @@
         cost_s=cost,
         wait_s=wait,
         trip_s=round_trip,
-        warm=warm,
+        known=known,
     )
 
 
@@ -417,7 +440,7 @@
     if queued:
         return
     spent = max(0.0, seconds - candidate.trip_s)
-    work.add(warm=candidate.warm, seconds=spent / candidate.view.slowness)
+    work.add(known=candidate.known, seconds=spent / candidate.view.slowness)
 
 
 def choose(
@@ -432,9 +455,10 @@
 ) -> Candidate | None:
     """Returns the best of the first usable candidates, None without any.
 
-    The first one is taken to know the object, since all gateways prefer it.
-    A target that does not know it is used only while it has a free slot: cold
-    work in a queue would hold up work for warm objects.
+    The first one is taken to know an object that this gateway has seen
+    before, since all gateways prefer it. A target that does not know it is
+    used only while it has a free slot: cold work in a queue would hold up work
+    for warm objects.
 
     Args:
         ranking: Targets, the best rank first.
@@ -446,26 +470,43 @@
         now: Monotonic seconds.
     """
     best: Candidate | None = None
-    compared = 0
-    for view in ranking:
-        if usable is not None and view.target.name not in usable:
-            continue
-        if view.is_avoided(now):
-            continue
-        warm = best is None or view.is_warm(subject, now)
-        if not warm and view.load(now) + 1.0 > view.target.slots:
+    near = list(_first_usable(ranking, usable, now))
+    seen = any(view.is_warm(subject, now) for view in near)
+    for rank, view in enumerate(near):
+        known = view.is_warm(subject, now)
+        warm = known or (rank == 0 and seen)
+        is_full = view.load(now) + 1.0 > view.target.slots
+        if rank > 0 and is_full and not warm:
             continue
         found = estimate(
             view,
             warm=warm,
+            known=known,
             work=work,
             place=place,
             size=size,
             now=now,
         )
+        if not seen:
+            found = replace(found, cost_s=found.cost_s + RANK_COST_S * rank)
         if best is None or found.cost_s < best.cost_s:
             best = found
-        compared += 1
-        if compared >= CANDIDATES:
-            break
     return best
+
+
+def _first_usable(
+    ranking: Sequence[TargetView],
+    usable: Mapping[str, bool] | None,
+    now: float,
+) -> Iterator[TargetView]:
+    """Yields the first targets of a ranking that may be compared."""
+    count = 0
+    for view in ranking:
+        if usable is not None and view.target.name not in usable:
+            continue
+        if view.is_avoided(now):
+            continue
+        yield view
+        count += 1
+        if count >= CANDIDATES:
+            return
--- a/kingcupvane/request/quota.py
+++ b/kingcupvane/request/quota.py
@@ -32,6 +32,8 @@
 # and the part that it takes meanwhile.
 SETTLE_S = 2.0
 SETTLE_SHARE = 0.1
+# Wait that a refused request of a crowded account is told, in seconds.
+CROWDED_S = 1.0
 # Part of its rate that a gateway uses while the bucket is in debt.
 DEBT_RATE = 0.8
 # Part of the burst below which gateways keep to their own part of the rate.
@@ -226,10 +228,17 @@
         return True
 
     def wait_s(self, plan: AccountPlan, now: float) -> float:
-        """Returns the time until the account may send again, in seconds."""
+        """Returns the time until the account may send again, in seconds.
+
+        While an account asks for more than its rate, whoever returns soon
+        finds others before it.
+        """
         if plan.rate <= 0.0:
             return 0.0
-        return self._account(plan, now).own.wait_s(now)
+        account = self._account(plan, now)
+        if self._heard_demand(plan, now) > plan.rate:
+            return CROWDED_S
+        return account.own.wait_s(now)
 
     def explain(self, plan: AccountPlan, now: float) -> str:
         """Returns the figures that decide about an account now."""
--- a/kingcupvane/request/steering.py
+++ b/kingcupvane/request/steering.py
@@ -58,6 +58,8 @@
 DEADLINE_SLACK_S = 0.03
 # Time left below which no target is asked, in seconds.
 USEFUL_MIN_S = 0.02
+# Scheduler rounds that pass before a request is sent on.
+DEPARTURE_CHECKPOINTS = 2
 # Targets that one request may be sent to at most, refusals included.
 SENDS_MAX = 4
 # Orders of targets among which requests without an object are spread.
@@ -412,7 +414,10 @@
             )
         account = passage.account
         if account is not None and not self._quota.admit(account, now):
-            wait = self._quota.wait_s(account, now)
+            wait = retry_after_s(
+                self._quota.wait_s(account, now),
+                attempt_id=passage.attempt_id.decode("latin-1"),
+            )
             return Err(
                 _refusal(
                     HTTPStatus.TOO_MANY_REQUESTS,
@@ -483,7 +488,8 @@
         self, passage: Passage, last: Attempt | None, why: str
     ) -> Refusal:
         ran = passage.runs > 0
-        if last is not None and last.ending is Ending.TIMEOUT:
+        timed_out = last is not None and last.ending is Ending.TIMEOUT
+        if timed_out and not last.not_run:
             return _refusal(
                 HTTPStatus.GATEWAY_TIMEOUT,
                 "target-timeout",
@@ -516,7 +522,8 @@
             ahead = max(0.0, view.load(now) + 1.0 - view.target.slots)
             waits.append(ahead * work.warm_s / view.target.slots)
         return retry_after_s(
-            min(waits, default=0.3), attempt_id=passage.attempt_id.decode()
+            min(waits, default=0.3),
+            attempt_id=passage.attempt_id.decode("latin-1"),
         )
 
     def _place(
@@ -631,8 +638,9 @@
             self._answer_bytes_by_route[name] = before + 0.1 * (size - before)
         ratio = 0.0
         if answered:
-            ratio = ratio_of(candidate, seconds)
             work = self._catalog.work(passage.service)
+            if candidate.known and work.is_known:
+                ratio = ratio_of(candidate, seconds)
             learn_work(work, candidate, reported, seconds)
         ejected = view.finish(
             attempt.ending, ratio=ratio, reported=reported, now=now
@@ -680,8 +688,14 @@
             return Attempt(
                 ending=Ending.UNREACHABLE, not_run=True, detail=str(error)
             )
-        passage.runs += 1
+        await _notice_departure()
         left = passage.deadline - self._clock.now()
+        if left < USEFUL_MIN_S:
+            await self._pool.release(target.name, connection)
+            return Attempt(
+                ending=Ending.TIMEOUT, not_run=True, detail="no time is left"
+            )
+        passage.runs += 1
         answer: WireAnswer | None = None
         whole = False
         try:
@@ -832,6 +846,16 @@
         await send({"type": "http.response.body", "body": body})
 
 
+async def _notice_departure() -> None:
+    """Lets a closed connection of the caller be seen before work is sent on.
+
+    After a process was suspended, requests and the ends of their connections
+    are read in the same moment.
+    """
+    for _ in range(DEPARTURE_CHECKPOINTS):
+        await trio.lowlevel.checkpoint()
+
+
 def _refusal(
     status: HTTPStatus,
     reason: str,
--- a/kingcupvane/tests/test_quota.py
+++ b/kingcupvane/tests/test_quota.py
@@ -33,6 +33,7 @@
     """Gateways on one clock; `heard` says who hears whom."""
 
     def __init__(self, *, count, plan, started_with_fleet=True):
+        """Starts gateways that all hear each other."""
         self.plan = plan
         self.now = 0.0
         self.heard = lambda one, other: True
