--- /dev/null
+++ b/kingcupvane/tests/targets.py
@@ -0,0 +1,78 @@
+"""Registered targets and plans for tests of placement and steering."""
+
+from kingcupvane.version.plan import (
+    AccountPlan,
+    Destination,
+    RegisteredTarget,
+    RouteKind,
+    RoutePlan,
+    ServicePlan,
+    TrafficPlan,
+)
+
+
+def target(name, **changes):
+    fields = {
+        "name": name,
+        "service": "reads",
+        "version": "v1",
+        "address": "127.0.0.1:1",
+        "data_centre": "north-a",
+        "region": "north",
+        "slots": 4,
+        "leaving": False,
+        "cold_left_s": 0.0,
+        "born_ms": 1,
+        "sequence": 1,
+    }
+    return RegisteredTarget(**{**fields, **changes})
+
+
+def route(**changes):
+    fields = {
+        "name": "r",
+        "host": "h.example",
+        "prefix": "/r/",
+        "kind": RouteKind.IDEMPOTENT,
+        "timeout_s": 2.0,
+        "objective_s": 0.25,
+        "priority": 1,
+        "destinations": (Destination(service="reads"),),
+        "attempts_max": 2,
+        "open": False,
+        "sticky": True,
+        "regions": frozenset(),
+    }
+    return RoutePlan(**{**fields, **changes})
+
+
+def account(**changes):
+    fields = {
+        "name": "acme",
+        "keys": frozenset({"secret"}),
+        "priority": None,
+        "rate": 0.0,
+        "burst": 0.0,
+        "regions": frozenset(),
+    }
+    return AccountPlan(**{**fields, **changes})
+
+
+def plan(*routes, accounts=(), number=1):
+    services = {
+        part.service: ServicePlan(
+            name=part.service,
+            health_path="/",
+            connections_max=100,
+            cold_s=3.0,
+            cold_rate=9.0,
+        )
+        for each in routes
+        for part in each.destinations
+    }
+    return TrafficPlan(
+        number=number,
+        routes=routes,
+        services_by_name=services,
+        accounts_by_name={one.name: one for one in accounts},
+    )
--- /dev/null
+++ b/kingcupvane/tests/test_placement.py
@@ -0,0 +1,241 @@
+"""Tests of placement, each a replay of a seeded load against a baseline."""
+
+import heapq
+import random
+from collections import OrderedDict
+
+import pytest
+
+from kingcupvane.request.placement import (
+    Ending,
+    Place,
+    RankCache,
+    ReportedLoad,
+    TargetView,
+    WorkEstimate,
+    choose,
+    learn_work,
+    ranked,
+    ratio_of,
+)
+from kingcupvane.tests.targets import target
+
+WARM_S = 0.108
+COLD_S = 0.36
+WARM_PLACES = 48
+OBJECTS = 66
+PLACE = Place(data_centre="north-a", region="north")
+
+
+class SimulatedTarget:
+    """A target of a few slots with a queue, and a memory of objects."""
+
+    def __init__(self, *, slots, speed=1.0):
+        """Starts idle and cold."""
+        self.slots = slots
+        self.speed = speed
+        self.running = 0
+        self.queue = []
+        self.warm = OrderedDict()
+
+    def work(self, subject):
+        warm = subject in self.warm
+        self.warm[subject] = True
+        self.warm.move_to_end(subject)
+        if len(self.warm) > WARM_PLACES:
+            self.warm.popitem(last=False)
+        return self.speed * (WARM_S if warm else COLD_S)
+
+
+class Gateway:
+    """One gateway's own view of all targets."""
+
+    def __init__(self, *, targets):
+        """Starts knowing only the registrations."""
+        self.views = [TargetView(target=t) for t in targets]
+        self.work = WorkEstimate()
+        self.ranks = RankCache(place=PLACE)
+
+    def choose(self, subject, now):
+        return choose(
+            self.ranks.get("reads", subject, self.views, bulk=False),
+            subject=subject,
+            usable=None,
+            work=self.work,
+            place=PLACE,
+            size=2000,
+            now=now,
+        )
+
+
+def by_chance(chance):
+    """The baseline: the less loaded of two targets at random."""
+
+    def pick(gateway, subject, now):
+        pair = chance.sample(gateway.views, 2)
+        view = min(pair, key=lambda v: v.load(now))
+        return gateway.choose(subject, now), view
+
+    return pick
+
+
+def by_placement(gateway, subject, now):
+    found = gateway.choose(subject, now)
+    return found, found.view
+
+
+def replay(*, rate, pick, seconds=30.0, seed=1, gateways=4, speeds=None):
+    """Returns the latencies of all requests by the time they came."""
+    chance = random.Random(seed)
+    count = 6
+    targets = [target(f"t{i}") for i in range(count)]
+    worlds = {
+        t.name: SimulatedTarget(slots=4, speed=(speeds or {}).get(i, 1.0))
+        for i, t in enumerate(targets)
+    }
+    fleet = [Gateway(targets=targets) for _ in range(gateways)]
+    results = []
+    events = []
+    number = 0
+    now = 0.0
+
+    def begin(world, name, job, now):
+        nonlocal number
+        number += 1
+        world.running += 1
+        end = now + world.work(job[1])
+        heapq.heappush(events, (end, number, name, job))
+
+    def finish(end, name, job):
+        world = worlds[name]
+        world.running -= 1
+        if world.queue:
+            begin(world, name, world.queue.pop(0), end)
+        gateway, _, found, view, came = job
+        reported = ReportedLoad(
+            running=world.running + 1, waiting=len(world.queue), slots=4
+        )
+        seconds = end - came
+        ratio = 0.0
+        if found.view is view:
+            if found.known and gateway.work.is_known:
+                ratio = ratio_of(found, seconds)
+            learn_work(gateway.work, found, reported, seconds)
+        view.finish(Ending.ANSWERED, ratio=ratio, reported=reported, now=end)
+        results.append((came, seconds))
+
+    while now < seconds:
+        now += chance.expovariate(rate)
+        while events and events[0][0] <= now:
+            end, _, name, job = heapq.heappop(events)
+            finish(end, name, job)
+        gateway = chance.choice(fleet)
+        subject = f"o{chance.randrange(OBJECTS)}"
+        found, view = pick(gateway, subject, now)
+        view.start(subject, now)
+        world = worlds[view.target.name]
+        job = (gateway, subject, found, view, now)
+        if world.running < world.slots:
+            begin(world, view.target.name, job, now)
+        else:
+            world.queue.append(job)
+    return results
+
+
+def in_time(results, *, after=6.0, objective=0.25):
+    late = [seconds for came, seconds in results if came >= after]
+    return sum(seconds <= objective for seconds in late) / len(late)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_same_object_reaches_warm_targets_from_all_gateways(seed):
+    """At 60% of the warm capacity, which is twice the cold capacity."""
+    rate = 0.6 * 24 / WARM_S
+    placed = replay(rate=rate, pick=by_placement, seed=seed)
+    chance = by_chance(random.Random(seed))
+    baseline = replay(rate=rate, pick=chance, seed=seed)
+    assert in_time(placed) >= 0.85
+    assert in_time(placed) >= in_time(baseline) + 0.1
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_cold_start_ends_within_seconds(seed):
+    """Cold work alone asks for twice the slots there are."""
+    rate = 0.6 * 24 / WARM_S
+    placed = replay(rate=rate, pick=by_placement, seed=seed, seconds=8.0)
+    assert in_time(placed, after=5.0) >= 0.8
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_slow_target_is_left_for_others(seed):
+    rate = 0.4 * 24 / WARM_S
+    placed = replay(rate=rate, pick=by_placement, seed=seed, speeds={0: 8.0})
+    assert in_time(placed) >= 0.8
+
+
+def test_ranking_keeps_most_objects_when_a_target_leaves():
+    views = [TargetView(target=target(f"t{i}")) for i in range(8)]
+    subjects = [f"o{i}" for i in range(400)]
+
+    def first(group, subject):
+        return ranked(group, subject=subject, place=PLACE)[0].target.name
+
+    before = {s: first(views, s) for s in subjects}
+    after = {s: first(views[1:], s) for s in subjects}
+    moved = [s for s in subjects if before[s] != after[s]]
+    assert all(before[s] == "t0" for s in moved)
+    counts = [list(before.values()).count(f"t{i}") for i in range(8)]
+    assert max(counts) <= 1.5 * 400 / 8
+
+
+def test_ranking_follows_the_parts_of_regions():
+    views = [TargetView(target=target(f"n{i}")) for i in range(4)] + [
+        TargetView(target=target(f"s{i}", data_centre="s-a", region="south"))
+        for i in range(4)
+    ]
+    parts = {"north": 0.75 / 16, "south": 0.25 / 16}
+    firsts = [
+        ranked(views, subject=f"o{i}", place=PLACE, parts=parts)[0]
+        for i in range(600)
+    ]
+    south = sum(view.target.region == "south" for view in firsts) / 600
+    assert abs(south - 0.25) < 0.06
+
+
+def test_bulk_requests_stay_in_their_data_centre():
+    views = [
+        TargetView(target=target("near")),
+        TargetView(target=target("next", data_centre="north-b")),
+    ]
+    firsts = [
+        ranked(views, subject=f"o{i}", place=PLACE, bulk=True)[0]
+        for i in range(400)
+    ]
+    near = sum(view.target.name == "near" for view in firsts) / 400
+    assert near > 0.85
+
+
+def test_unreachable_target_is_out_of_use_and_comes_back():
+    view = TargetView(target=target("t"))
+    view.start("o", 0.0)
+    assert view.finish(Ending.UNREACHABLE, ratio=0.0, reported=None, now=1.0)
+    assert view.is_avoided(1.1)
+    assert not view.is_avoided(10.0)
+
+
+def test_only_cold_free_targets_stand_in_for_a_full_one():
+    views = [TargetView(target=target(f"t{i}", slots=1)) for i in range(3)]
+    order = ranked(views, subject="o", place=PLACE)
+    order[0].start("o", 0.0)
+    order[1].start("x", 0.0)
+    order[2].start("y", 0.0)
+    found = choose(
+        order,
+        subject="o",
+        usable=None,
+        work=WorkEstimate(),
+        place=PLACE,
+        size=0,
+        now=0.0,
+    )
+    assert found.view is order[0]
