--- a/kingcupvane/platform/names.py
+++ b/kingcupvane/platform/names.py
@@ -1,6 +1,6 @@
 """Names on the platform's wire; those of headers in lower case."""
 
-from kingcupvane.request.steering import WireNames
+from kingcupvane.request.passage import WireNames
 
 NAMES = WireNames(
     attempt=b"kingcupvane-request-attempt-id",
--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -47,16 +47,14 @@
 from kingcupvane.process.store import Conflict, Store
 from kingcupvane.process.supervisor import supervise
 from kingcupvane.process.timeline import HybridClock, Timeline
+from kingcupvane.request.passage import Suspicion, WireNames
 from kingcupvane.request.placement import Place
 from kingcupvane.request.quota import QuotaDivision
 from kingcupvane.request.retry import CrashRegistry, RetryBudget
 from kingcupvane.request.routing import rank
-from kingcupvane.request.steering import (
-    RetryBudgets,
-    Steering,
-    Suspicion,
-    WireNames,
-)
+from kingcupvane.request.selection import TargetSelector
+from kingcupvane.request.sending import TargetSender
+from kingcupvane.request.steering import RetryBudgets, Steering
 from kingcupvane.settings import GatewaySettings, RetrySettings
 from kingcupvane.version.judge import Judge, Tally
 from kingcupvane.version.move import MoveState, Phase
@@ -208,20 +206,33 @@
         ](SUSPICIONS_WAITING)
 
     def _make_steering(self) -> None:
-        self._steering = Steering(
+        selector = TargetSelector(
+            catalog=self._catalog,
+            rollouts=self._rollouts,
+            gateways=lambda: self._live_names,
+        )
+        sender = TargetSender(
             catalog=self._catalog,
             pool=self._pool,
-            quota=self._quota,
+            selector=selector,
             crashes=self._crashes,
-            rollouts=self._rollouts,
             evidence=self._evidence,
-            budgets=RetryBudgets(make=self._make_budget),
-            gateways=lambda: self._live_names,
             names=self._names,
             clock=self._clock,
             tell=self._timeline.record,
             suspect=self._note_suspicion,
         )
+        self._steering = Steering(
+            catalog=self._catalog,
+            selector=selector,
+            sender=sender,
+            quota=self._quota,
+            crashes=self._crashes,
+            budgets=RetryBudgets(make=self._make_budget),
+            names=self._names,
+            clock=self._clock,
+            tell=self._timeline.record,
+        )
 
     def _make_budget(self) -> RetryBudget:
         """Returns this gateway's part of the fleet's retry budget."""
--- /dev/null
+++ b/kingcupvane/request/passage.py
@@ -0,0 +1,169 @@
+"""What is known of one request while it passes through a gateway."""
+
+from dataclasses import dataclass, field
+from http import HTTPStatus
+
+from kingcupvane import asgi
+from kingcupvane.connection.exchange import WireAnswer
+from kingcupvane.errors import Executed, Refusal, Step
+from kingcupvane.hashing import spread
+from kingcupvane.request.placement import Ending
+from kingcupvane.request.waiting import RETRY_AFTER_MAX_S
+from kingcupvane.version.plan import AccountPlan, RoutePlan
+
+# Orders of targets among which requests without an object are spread.
+SPREADS = 64
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WireNames:
+    """Names that callers, gateways and targets exchange.
+
+    Attributes:
+        attempt: Id of the caller's attempt; targets echo it.
+        deadline: Milliseconds that the caller will wait.
+        instance: Id of the target that a request is meant for.
+        account: Name of the client account, set by the gateway.
+        load: A target's running and waiting requests and its slots.
+        not_executed: A target has not run the request.
+        stamp: A target's mark on its own answers.
+        subject_cookie: Cookie that names the object of the request.
+        key_scheme: Word before the key in the Authorization header.
+        ready_path: Path of the readiness check.
+        lookup_path: Path of the question which gateway to use.
+        lookup_region: Its query field with the caller's region.
+        lookup_data_centre: Its query field with the caller's data centre.
+        lookup_addresses: Field of the answer with the gateways' addresses.
+        lookup_ttl: Field of the answer with its life in seconds.
+    """
+
+    attempt: bytes
+    deadline: bytes
+    instance: bytes
+    account: bytes
+    load: bytes
+    not_executed: bytes
+    stamp: bytes
+    subject_cookie: str
+    key_scheme: str
+    ready_path: str
+    lookup_path: str
+    lookup_region: str
+    lookup_data_centre: str
+    lookup_addresses: str
+    lookup_ttl: str
+
+
+@dataclass(kw_only=True, slots=True)
+class Passage:
+    """One request while it is served.
+
+    Attributes:
+        request: As it came.
+        route: Its route.
+        account: Its client account; None on open routes.
+        arrived_at: Monotonic time of its headers, in seconds.
+        deadline: Monotonic time by which the answer is due, in seconds.
+        attempt_id: Id of the caller's attempt.
+        subject: The object that it concerns; empty for none.
+        returning: It was refused before and came back.
+        body: The whole body.
+        print_: Equal for repeats of the request.
+        service: Service that it goes to.
+        sends: Targets that it was sent to.
+        runs: Targets that may have run it.
+    """
+
+    request: asgi.HttpRequest
+    route: RoutePlan
+    account: AccountPlan | None
+    arrived_at: float
+    deadline: float
+    attempt_id: bytes
+    subject: str
+    returning: bool = False
+    body: bytes = b""
+    print_: str = ""
+    service: str = ""
+    sends: list[str] = field(default_factory=list)
+    runs: int = 0
+
+    @property
+    def id(self) -> str:
+        """Id of the caller's attempt as text."""
+        return self.attempt_id.decode("latin-1")
+
+    @property
+    def ranked_by(self) -> str:
+        """What the order of targets goes by: the object, or chance."""
+        if self.subject:
+            return self.subject
+        return f"any/{spread(self.id) % SPREADS}"
+
+    @property
+    def account_name(self) -> str:
+        """Name of the client account; empty on open routes."""
+        return self.account.name if self.account is not None else ""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Attempt:
+    """What became of sending a request to one target.
+
+    Attributes:
+        ending: How it ended.
+        answer: The target's answer, where there is one.
+        not_run: Whether it is certain that the target did not run it.
+        detail: What was seen.
+    """
+
+    ending: Ending
+    answer: WireAnswer | None = None
+    not_run: bool = False
+    detail: str = ""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Suspicion:
+    """A request whose target broke off while it may have run it.
+
+    Attributes:
+        print_: Fingerprint of the request.
+        target: Name of the target.
+        address: Its address.
+        started_at: Monotonic time at which the run began, in seconds.
+    """
+
+    print_: str
+    target: str
+    address: str
+    started_at: float
+
+
+def refuse(
+    status: HTTPStatus,
+    reason: str,
+    step: Step,
+    *,
+    executed: Executed = Executed.NO,
+    retry_after_s: float = 0.0,
+    detail: str = "",
+) -> Refusal:
+    """Returns a refusal; its reason stands for the detail where none is given.
+
+    Args:
+        status: HTTP status.
+        reason: Stable word for the class of refusal.
+        step: Where it arose.
+        executed: Whether the work has run.
+        retry_after_s: Seconds after which a repeat may succeed, 0 for none.
+        detail: One sentence for the caller.
+    """
+    return Refusal(
+        status=status.value,
+        reason=reason,
+        detail=detail or reason,
+        step=step,
+        executed=executed,
+        retry_after_s=min(RETRY_AFTER_MAX_S, retry_after_s),
+    )
--- /dev/null
+++ b/kingcupvane/request/reception.py
@@ -0,0 +1,107 @@
+"""Finds out what a request asks for and who asks, before its body is read."""
+
+from http import HTTPStatus
+
+from result import Err, Ok, Result
+
+from kingcupvane import asgi
+from kingcupvane.clock import MILLISECONDS_PER_SECOND, Clock
+from kingcupvane.errors import Refusal, Step
+from kingcupvane.process.catalog import Catalog
+from kingcupvane.request.passage import Passage, WireNames, refuse
+from kingcupvane.request.waiting import DeadlineMemory
+from kingcupvane.version.plan import AccountPlan, RoutePlan
+
+# Time that a request without any deadline may take, in seconds.
+WAIT_DEFAULT_S = 60.0
+# When to come back to a gateway that has no plan yet, in seconds.
+NO_PLAN_RETRY_S = 0.3
+
+
+class Reception:
+    """Opens passages."""
+
+    def __init__(self, *, catalog: Catalog, names: WireNames, clock: Clock):
+        """Makes a reception.
+
+        Args:
+            catalog: Has the plan in force.
+            names: Names on the wire.
+            clock: Monotonic clock.
+        """
+        self._catalog = catalog
+        self._names = names
+        self._clock = clock
+        self._deadlines = DeadlineMemory()
+
+    def open(self, request: asgi.HttpRequest) -> Result[Passage, Refusal]:
+        """Finds route and account of a request."""
+        plan = self._catalog.plan
+        if plan.number == 0:
+            return Err(
+                refuse(
+                    HTTPStatus.SERVICE_UNAVAILABLE,
+                    "no-plan-yet",
+                    Step.ROUTE,
+                    retry_after_s=NO_PLAN_RETRY_S,
+                )
+            )
+        path = request.target.partition(b"?")[0].decode("latin-1")
+        route = plan.find_route(request.headers.get("host", ""), path)
+        if route is None:
+            return Err(refuse(HTTPStatus.NOT_FOUND, "no-route", Step.ROUTE))
+        account = self._find_account(request)
+        if account is None and plan.accounts_by_name and not route.open:
+            return Err(
+                refuse(
+                    HTTPStatus.UNAUTHORIZED, "unknown-key", Step.AUTHENTICATE
+                )
+            )
+        return Ok(self._passage(request, route, account))
+
+    def _find_account(self, request: asgi.HttpRequest) -> AccountPlan | None:
+        scheme, _, key = request.headers.get("authorization", "").partition(" ")
+        if scheme.lower() != self._names.key_scheme.lower():
+            return None
+        return self._catalog.plan.accounts_by_key.get(key.strip())
+
+    def _passage(
+        self,
+        request: asgi.HttpRequest,
+        route: RoutePlan,
+        account: AccountPlan | None,
+    ) -> Passage:
+        now = self._clock.now()
+        waits = self._waits_s(request, route)
+        subject = _cookie(
+            request.headers.get("cookie", ""), self._names.subject_cookie
+        )
+        if not route.sticky:
+            subject = ""
+        name = self._names.attempt.decode()
+        return Passage(
+            request=request,
+            route=route,
+            account=account,
+            arrived_at=now,
+            deadline=now + waits,
+            attempt_id=request.headers.get(name, "").encode("latin-1"),
+            subject=f"{route.name}/{subject}" if subject else "",
+            returning=self._deadlines.is_returning(route.name, waits),
+        )
+
+    def _waits_s(self, request: asgi.HttpRequest, route: RoutePlan) -> float:
+        """Returns how long the caller waits, at most the route's timeout."""
+        longest = route.timeout_s or WAIT_DEFAULT_S
+        given = request.headers.get(self._names.deadline.decode(), "")
+        if not given.isdigit():
+            return longest
+        return min(longest, int(given) / MILLISECONDS_PER_SECOND)
+
+
+def _cookie(header: str, name: str) -> str:
+    for part in header.split(";"):
+        key, _, value = part.strip().partition("=")
+        if key.lower() == name.lower():
+            return value
+    return ""
--- /dev/null
+++ b/kingcupvane/request/selection.py
@@ -0,0 +1,148 @@
+"""Selects the service and the target that get a request."""
+
+from collections.abc import Callable, Iterator, Mapping
+
+from kingcupvane.process.catalog import Catalog
+from kingcupvane.process.rollout import (
+    NEW,
+    RolloutRegister,
+    move_name,
+    shares_of,
+)
+from kingcupvane.request.passage import Passage
+from kingcupvane.request.placement import Candidate, TargetView, choose
+from kingcupvane.request.routing import ShareCounter
+from kingcupvane.version.move import VersionShare
+from kingcupvane.version.plan import RoutePlan
+
+# Bytes of an answer before any was seen, and the weight of a new one.
+ANSWER_BYTES = 2000
+ANSWER_SMOOTHING = 0.1
+
+
+class DestinationPicker:
+    """Splits the requests of routes among services by their weights."""
+
+    def __init__(self):
+        """Starts without requests."""
+        self._debts_by_route: dict[tuple, dict[str, float]] = {}
+
+    def pick(self, route: RoutePlan) -> str:
+        """Returns the service that has most to catch up on."""
+        if len(route.destinations) == 1:
+            return route.destinations[0].service
+        debts = self._debts_by_route.setdefault(
+            (route.name, route.destinations), {}
+        )
+        total = sum(part.weight for part in route.destinations)
+        for part in route.destinations:
+            gained = part.weight / total if total else 0.0
+            debts[part.service] = debts.get(part.service, 0.0) + gained
+        service = max(debts, key=debts.__getitem__)
+        debts[service] -= 1.0
+        return service
+
+
+class TargetSelector:
+    """Finds the best target that a request may use."""
+
+    def __init__(
+        self,
+        *,
+        catalog: Catalog,
+        rollouts: RolloutRegister,
+        gateways: Callable[[], list[str]],
+    ):
+        """Makes a selector.
+
+        Args:
+            catalog: Plan and targets.
+            rollouts: What gateways decided on rollouts.
+            gateways: Returns the names of the live gateways.
+        """
+        self._catalog = catalog
+        self._rollouts = rollouts
+        self._gateways = gateways
+        self._shares_by_service: dict[str, ShareCounter] = {}
+        self._answer_bytes_by_route: dict[str, float] = {}
+
+    def note_sent(self, service: str, side: str) -> None:
+        """Counts a request that a side of a rollout gets."""
+        if side:
+            self._shares_by_service[service].count(side)
+
+    def note_answer(self, route: str, size: int) -> None:
+        """Takes in the size of an answer, in bytes."""
+        before = self._answer_bytes_by_route.get(route, ANSWER_BYTES)
+        change = ANSWER_SMOOTHING * (size - before)
+        self._answer_bytes_by_route[route] = before + change
+
+    def place(
+        self, passage: Passage, now: float
+    ) -> tuple[Candidate | None, str]:
+        """Returns the best target, and which side of a rollout it is on."""
+        service = passage.service
+        shares = self._shares(service)
+        size = len(passage.body) + int(
+            self._answer_bytes_by_route.get(passage.route.name, ANSWER_BYTES)
+        )
+        sides = [""]
+        if shares is not None:
+            counter = self._shares_by_service.setdefault(
+                service, ShareCounter()
+            )
+            sides = counter.choose(shares)
+        for side in sides:
+            usable = {
+                view.target.name: True
+                for view in self._usable(passage, side, now)
+            }
+            if not usable:
+                continue
+            candidate = choose(
+                self._catalog.ranking(service, passage.ranked_by, size=size),
+                subject=passage.subject,
+                usable=usable,
+                work=self._catalog.work(service),
+                place=self._catalog.place,
+                size=size,
+                now=now,
+            )
+            if candidate is not None:
+                return candidate, side
+        return None, ""
+
+    def _shares(self, service: str) -> Mapping[str, VersionShare] | None:
+        order = self._catalog.orders_by_service.get(service)
+        if order is None:
+            return None
+        state = self._rollouts.states_by_name.get(move_name(order))
+        outcome = self._catalog.outcomes_by_service.get(service)
+        return shares_of(order, outcome, state)
+
+    def _usable(
+        self, passage: Passage, side: str, now: float
+    ) -> Iterator[TargetView]:
+        catalog = self._catalog
+        order = catalog.orders_by_service.get(passage.service)
+        homes = passage.route.regions
+        account = passage.account
+        gateways = self._gateways()
+        for view in catalog.views(passage.service):
+            target = view.target
+            if target.leaving or target.name in passage.sends:
+                continue
+            if target.data_centre in catalog.evacuated:
+                continue
+            if homes and target.region not in homes:
+                continue
+            bound = account.regions if account is not None else None
+            if bound and target.region not in bound:
+                continue
+            if order is not None and side:
+                is_new = target.version == order.version
+                if is_new != (side == NEW):
+                    continue
+            if not catalog.cold.may_use(target.name, gateways, now):
+                continue
+            yield view
--- /dev/null
+++ b/kingcupvane/request/sending.py
@@ -0,0 +1,297 @@
+"""Sends a request to one target and learns from what comes of it."""
+
+from collections.abc import Callable
+from http import HTTPStatus
+
+import trio
+
+from kingcupvane.clock import MILLISECONDS_PER_SECOND, Clock
+from kingcupvane.connection.exchange import (
+    ConnectFailedError,
+    ConnectionPool,
+    ExchangeBrokenError,
+    WireAnswer,
+    WireRequest,
+    end_to_end,
+)
+from kingcupvane.process.catalog import Catalog
+from kingcupvane.process.evidence import EvidenceCounter
+from kingcupvane.request.dispatch import Sample
+from kingcupvane.request.passage import (
+    Attempt,
+    Passage,
+    Suspicion,
+    WireNames,
+)
+from kingcupvane.request.placement import (
+    Candidate,
+    Ending,
+    ReportedLoad,
+    TargetView,
+    learn_work,
+    ratio_of,
+)
+from kingcupvane.request.retry import CrashRegistry
+from kingcupvane.request.selection import TargetSelector
+
+# Time for which an answer at the very deadline is still awaited, in seconds.
+DEADLINE_SLACK_S = 0.03
+# Time left below which no target is asked, in seconds.
+USEFUL_MIN_S = 0.02
+# Scheduler rounds that pass before a request is sent on.
+DEPARTURE_CHECKPOINTS = 2
+SERVER_ERROR_MIN = 500
+
+
+class TargetSender:
+    """Sends requests to targets."""
+
+    def __init__(
+        self,
+        *,
+        catalog: Catalog,
+        pool: ConnectionPool,
+        selector: TargetSelector,
+        crashes: CrashRegistry,
+        evidence: EvidenceCounter,
+        names: WireNames,
+        clock: Clock,
+        tell: Callable[..., None],
+        suspect: Callable[[Suspicion], None],
+    ):
+        """Makes a sender.
+
+        Args:
+            catalog: Targets and their work.
+            pool: Connections to targets.
+            selector: Counts what sides of rollouts get.
+            crashes: Requests that crash targets.
+            evidence: Counts what versions do.
+            names: Names on the wire.
+            clock: Monotonic clock.
+            tell: Takes a kind of event and its fields for the log.
+            suspect: Takes a request whose target broke off, to find out
+                whether the target died.
+        """
+        self._catalog = catalog
+        self._pool = pool
+        self._selector = selector
+        self._crashes = crashes
+        self._evidence = evidence
+        self._names = names
+        self._clock = clock
+        self._tell = tell
+        self._suspect = suspect
+
+    async def send(
+        self, passage: Passage, candidate: Candidate, side: str
+    ) -> Attempt:
+        """Sends a request to a target and takes in what that shows.
+
+        Args:
+            passage: The request.
+            candidate: The target and what is expected of it.
+            side: Its side of a rollout; empty without one.
+        """
+        catalog = self._catalog
+        view = candidate.view
+        target = view.target
+        started = self._clock.now()
+        passage.sends.append(target.name)
+        self._selector.note_sent(passage.service, side)
+        catalog.cold.count(
+            target.name, rate=catalog.cold_rate(target.service), now=started
+        )
+        view.start(passage.subject, started)
+        attempt = Attempt(ending=Ending.CANCELLED)
+        try:
+            attempt = await self._exchange(passage, view)
+        finally:
+            seconds = self._clock.now() - started
+            self._note(passage, candidate, attempt, seconds)
+        return attempt
+
+    def _note(
+        self,
+        passage: Passage,
+        candidate: Candidate,
+        attempt: Attempt,
+        seconds: float,
+    ) -> None:
+        """Takes in what an attempt showed of its target."""
+        now = self._clock.now()
+        view = candidate.view
+        answered = attempt.ending is Ending.ANSWERED
+        reported = None
+        if attempt.answer is not None:
+            reported = _reported(attempt.answer.header(self._names.load))
+            self._selector.note_answer(
+                passage.route.name, len(attempt.answer.body)
+            )
+        ratio = 0.0
+        if answered:
+            work = self._catalog.work(passage.service)
+            if candidate.known and work.is_known:
+                ratio = ratio_of(candidate, seconds)
+            learn_work(work, candidate, reported, seconds)
+        ejected = view.finish(
+            attempt.ending, ratio=ratio, reported=reported, now=now
+        )
+        if ejected:
+            self._tell(
+                "target-ejected",
+                target=view.target.name,
+                service=view.target.service,
+                why=attempt.detail,
+                request=passage.id,
+            )
+        if passage.service in self._catalog.orders_by_service:
+            self._count_evidence(passage, view, attempt, seconds)
+        if answered:
+            self._crashes.clear(passage.print_)
+
+    def _count_evidence(
+        self,
+        passage: Passage,
+        view: TargetView,
+        attempt: Attempt,
+        seconds: float,
+    ) -> None:
+        if attempt.ending in (Ending.CANCELLED, Ending.SHED):
+            return
+        self._evidence.add(
+            Sample(
+                service=passage.service,
+                version=view.target.version,
+                route=passage.route.prefix,
+                failed=attempt.ending is not Ending.ANSWERED,
+                latency_s=seconds,
+            )
+        )
+
+    async def _exchange(self, passage: Passage, view: TargetView) -> Attempt:
+        target = view.target
+        started = self._clock.now()
+        try:
+            connection = await self._pool.acquire(
+                target.name, target.address, fresh=not passage.route.repeatable
+            )
+        except ConnectFailedError as error:
+            return Attempt(
+                ending=Ending.UNREACHABLE, not_run=True, detail=str(error)
+            )
+        await _notice_departure()
+        left = passage.deadline - self._clock.now()
+        if left < USEFUL_MIN_S:
+            await self._pool.release(target.name, connection)
+            return Attempt(
+                ending=Ending.TIMEOUT, not_run=True, detail="no time is left"
+            )
+        passage.runs += 1
+        answer: WireAnswer | None = None
+        whole = False
+        try:
+            with trio.move_on_after(max(0.0, left) + DEADLINE_SLACK_S):
+                answer = await connection.exchange(
+                    self._outbound(passage, view, left)
+                )
+                whole = self._is_own(passage, answer)
+        except ExchangeBrokenError as error:
+            self._suspect(
+                Suspicion(
+                    print_=passage.print_,
+                    target=target.name,
+                    address=target.address,
+                    started_at=started,
+                )
+            )
+            return Attempt(ending=Ending.BROKEN, detail=str(error))
+        finally:
+            if not whole:
+                await trio.aclose_forcefully(connection.stream)
+        if answer is None:
+            return Attempt(ending=Ending.TIMEOUT, detail="no answer in time")
+        if not whole:
+            return Attempt(
+                ending=Ending.BROKEN, detail="the answer is another request's"
+            )
+        await self._pool.release(target.name, connection)
+        return self._judge(passage, answer)
+
+    def _is_own(self, passage: Passage, answer: WireAnswer) -> bool:
+        echoed = answer.header(self._names.attempt)
+        return echoed is None or echoed == passage.attempt_id
+
+    def _judge(self, passage: Passage, answer: WireAnswer) -> Attempt:
+        names = self._names
+        refused = answer.header(names.not_executed) is not None
+        misdirected = answer.status == HTTPStatus.MISDIRECTED_REQUEST
+        if refused or misdirected:
+            passage.runs -= 1
+            return Attempt(
+                ending=Ending.UNREACHABLE if misdirected else Ending.SHED,
+                answer=answer,
+                not_run=True,
+                detail=f"the target refused with {answer.status}",
+            )
+        if answer.header(names.stamp) is None:
+            return Attempt(
+                ending=Ending.BROKEN, detail="the answer has no stamp"
+            )
+        if answer.status >= SERVER_ERROR_MIN:
+            return Attempt(
+                ending=Ending.FAILED,
+                answer=answer,
+                detail=f"the target answered {answer.status}",
+            )
+        return Attempt(ending=Ending.ANSWERED, answer=answer)
+
+    def _outbound(
+        self, passage: Passage, view: TargetView, left: float
+    ) -> WireRequest:
+        names = self._names
+        request = passage.request
+        dropped = (
+            names.deadline,
+            names.instance,
+            names.account,
+            b"authorization",
+            b"content-length",
+            b"expect",
+        )
+        headers = [
+            (name, value)
+            for name, value in end_to_end(request.header_pairs)
+            if name not in dropped
+        ]
+        milliseconds = max(1, int(left * MILLISECONDS_PER_SECOND))
+        headers.append((names.deadline, str(milliseconds).encode()))
+        headers.append((names.instance, view.target.name.encode()))
+        if passage.account is not None:
+            headers.append((names.account, passage.account.name.encode()))
+        return WireRequest(
+            method=request.method.encode(),
+            path=request.target,
+            headers=headers,
+            body=passage.body,
+        )
+
+
+async def _notice_departure() -> None:
+    """Lets a closed connection of the caller be seen before work is sent on.
+
+    After a process was suspended, requests and the ends of their connections
+    are read in the same moment.
+    """
+    for _ in range(DEPARTURE_CHECKPOINTS):
+        await trio.lowlevel.checkpoint()
+
+
+def _reported(value: bytes | None) -> ReportedLoad | None:
+    if value is None:
+        return None
+    parts = value.split(b",")
+    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        return None
+    running, waiting, slots = (int(part) for part in parts)
+    return ReportedLoad(running=running, waiting=waiting, slots=slots)
--- a/kingcupvane/tests/test_steering.py
+++ b/kingcupvane/tests/test_steering.py
@@ -19,10 +19,13 @@
 )
 from kingcupvane.process.evidence import EvidenceCounter
 from kingcupvane.process.rollout import RolloutRegister
+from kingcupvane.request.passage import WireNames
 from kingcupvane.request.placement import Place
 from kingcupvane.request.quota import QuotaDivision
 from kingcupvane.request.retry import CrashRegistry, RetryBudget
-from kingcupvane.request.steering import RetryBudgets, Steering, WireNames
+from kingcupvane.request.selection import TargetSelector
+from kingcupvane.request.sending import TargetSender
+from kingcupvane.request.steering import RetryBudgets, Steering
 from kingcupvane.settings import RetrySettings
 from kingcupvane.tests.targets import account, plan, route, target
 from kingcupvane.version.plan import Destination, RouteKind
@@ -124,23 +127,36 @@
         )
         self.quota = QuotaDivision(now=clock.now(), started_with_fleet=True)
         self.crashes = CrashRegistry(settings=RetrySettings())
-        self.steering = Steering(
+        selector = TargetSelector(
+            catalog=self.catalog,
+            rollouts=RolloutRegister(),
+            gateways=lambda: ["g"],
+        )
+        sender = TargetSender(
             catalog=self.catalog,
             pool=pool,
-            quota=self.quota,
+            selector=selector,
             crashes=self.crashes,
-            rollouts=RolloutRegister(),
             evidence=EvidenceCounter(),
+            names=NAMES,
+            clock=clock,
+            tell=timeline.record,
+            suspect=self.suspicions.append,
+        )
+        self.steering = Steering(
+            catalog=self.catalog,
+            selector=selector,
+            sender=sender,
+            quota=self.quota,
+            crashes=self.crashes,
             budgets=RetryBudgets(
                 make=lambda: RetryBudget(
                     settings=RetrySettings(share=0.2, burst=10)
                 )
             ),
-            gateways=lambda: ["g"],
             names=NAMES,
             clock=clock,
             tell=timeline.record,
-            suspect=self.suspicions.append,
         )
         for name in ("t0", "t1", "t2"):
             self.register(target(name))
--- a/kingcupvane/version/items.py
+++ b/kingcupvane/version/items.py
@@ -117,7 +117,7 @@
             good, 0 to 1.
         step: Largest growth of the share at a time, 0 to 1.
         hold_s: Shortest time between two steps, in seconds.
-        deadline: When the move is done or taken back, with a time zone.
+        deadline: When the move is done or taken back, with its UTC offset.
     """
 
     KIND: ClassVar[str] = "moves"
