--- /dev/null
+++ b/kingcupvane/connection/endpoints.py
@@ -0,0 +1,111 @@
+"""What a gateway serves besides requests: readiness, look-ups, metrics."""
+
+from collections.abc import Callable
+from http import HTTPStatus
+from urllib.parse import parse_qs
+
+import trio
+
+from kingcupvane import asgi
+from kingcupvane.clock import Clock
+from kingcupvane.process.metrics import METRICS_PATH, TEXT_TYPE, Metrics
+from kingcupvane.process.peering import PeerTable, entries_for
+from kingcupvane.request.passage import WireNames
+from kingcupvane.settings import GatewaySettings
+
+
+class Endpoints:
+    """Answers the platform's checks, look-ups and readers of metrics."""
+
+    def __init__(
+        self,
+        *,
+        settings: GatewaySettings,
+        names: WireNames,
+        peers: PeerTable,
+        metrics: Metrics,
+        is_ready: Callable[[], bool],
+        stop: trio.Event,
+        clock: Clock,
+    ):
+        """Makes the endpoints; the `serve` methods bind their sockets.
+
+        Args:
+            settings: Addresses and the life of look-up answers.
+            names: Names on the wire.
+            peers: The known gateways.
+            metrics: What is counted.
+            is_ready: Returns whether callers may be sent here.
+            stop: Ends all of them.
+            clock: Monotonic clock.
+        """
+        self._settings = settings
+        self._names = names
+        self._peers = peers
+        self._metrics = metrics
+        self._is_ready = is_ready
+        self._stop = stop
+        self._clock = clock
+
+    async def serve_readiness(self) -> None:
+        """Serves the readiness check until stopped."""
+        await asgi.serve(
+            self._answer_readiness,
+            address=self._settings.readiness_address,
+            stop=self._stop,
+        )
+
+    async def serve_lookups(self) -> None:
+        """Serves look-ups until stopped."""
+        await asgi.serve(
+            self._answer_lookup,
+            address=self._settings.lookup_address,
+            stop=self._stop,
+        )
+
+    async def serve_metrics(self) -> None:
+        """Serves the metrics until stopped."""
+        address = f"{self._settings.ip}:{self._settings.metrics_port}"
+        await asgi.serve(self._answer_metrics, address=address, stop=self._stop)
+
+    async def _answer_readiness(
+        self, request: asgi.HttpRequest, send: asgi.Send
+    ) -> None:
+        ready = self._is_ready() and request.path == self._names.ready_path
+        status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
+        await asgi.HttpResponse(status=status).send(send)
+
+    async def _answer_lookup(
+        self, request: asgi.HttpRequest, send: asgi.Send
+    ) -> None:
+        if request.path != self._names.lookup_path:
+            await asgi.HttpResponse(status=HTTPStatus.NOT_FOUND).send(send)
+            return
+        query = parse_qs(request.query)
+        addresses = entries_for(
+            self._peers,
+            region=query.get(self._names.lookup_region, [""])[0],
+            data_centre=query.get(self._names.lookup_data_centre, [""])[0],
+            ready=self._is_ready(),
+            now=self._clock.now(),
+        )
+        if not addresses:
+            await asgi.HttpResponse(status=HTTPStatus.SERVICE_UNAVAILABLE).send(
+                send
+            )
+            return
+        body = {
+            self._names.lookup_addresses: addresses,
+            self._names.lookup_ttl: self._settings.lookup_ttl_s,
+        }
+        await asgi.json_response(body).send(send)
+
+    async def _answer_metrics(
+        self, request: asgi.HttpRequest, send: asgi.Send
+    ) -> None:
+        if request.path != METRICS_PATH:
+            await asgi.HttpResponse(status=HTTPStatus.NOT_FOUND).send(send)
+            return
+        await asgi.HttpResponse(
+            body=self._metrics.text(), content_type=TEXT_TYPE
+        ).send(send)
--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -4,31 +4,23 @@
 from collections.abc import Callable
 from functools import partial
 from typing import Protocol
-from urllib.parse import parse_qs
 
 import hypercorn.config
 import msgspec
 import trio
-from result import Err, Ok
 
 from kingcupvane import asgi
 from kingcupvane.clock import MILLISECONDS_PER_SECOND, Clock, SystemClock
+from kingcupvane.connection.endpoints import Endpoints
 from kingcupvane.connection.exchange import (
     ConnectFailedError,
     ConnectionPool,
     connect,
 )
 from kingcupvane.connection.messages import (
-    EvidenceReply,
-    EvidenceRequest,
     Feed,
     FrameCodec,
     GatewayRecord,
-    GatewayReport,
-    Message,
-    MirrorReply,
-    MirrorRequest,
-    RolloutProgress,
 )
 from kingcupvane.connection.peer import PeerClient, PeerServer
 from kingcupvane.errors import UsageError
@@ -36,35 +28,27 @@
 from kingcupvane.process.evidence import EvidenceCounter
 from kingcupvane.process.feed import LEASE_CONTACTS, Registration, StoreFeed
 from kingcupvane.process.item import Item
-from kingcupvane.process.metrics import METRICS_PATH, TEXT_TYPE, Metrics
+from kingcupvane.process.metrics import Metrics
 from kingcupvane.process.mirror import Mirror
-from kingcupvane.process.peering import PeerTable, entries_for
-from kingcupvane.process.rollout import (
-    RolloutCase,
-    RolloutRegister,
-    move_name,
-)
-from kingcupvane.process.store import Conflict, Store
+from kingcupvane.process.peering import PeerTable
+from kingcupvane.process.reporting import Reporter
+from kingcupvane.process.rollout import RolloutCases, RolloutRegister
+from kingcupvane.process.rollout_task import OutcomeWriter, RolloutTask
+from kingcupvane.process.store import Store
 from kingcupvane.process.supervisor import supervise
 from kingcupvane.process.timeline import HybridClock, Timeline
 from kingcupvane.request.passage import Suspicion, WireNames
 from kingcupvane.request.placement import Place
 from kingcupvane.request.quota import QuotaDivision
 from kingcupvane.request.retry import CrashRegistry, RetryBudget
-from kingcupvane.request.routing import rank
 from kingcupvane.request.selection import TargetSelector
 from kingcupvane.request.sending import TargetSender
 from kingcupvane.request.steering import RetryBudgets, Steering
 from kingcupvane.settings import GatewaySettings, RetrySettings
-from kingcupvane.version.judge import Judge, Tally
-from kingcupvane.version.move import MoveState, Phase
-from kingcupvane.version.plan import RolloutOrder, RolloutState
 
-REPORT_PERIOD_S = 0.4
 REPORT_TIMEOUT_S = 0.8
 UPKEEP_PERIOD_S = 0.2
 SWEEP_PERIOD_S = 1.0
-ROLLOUT_PERIOD_S = 0.25
 # Time that is kept between the end of a graceful stop and SIGKILL, in s.
 STOP_MARGIN_S = 0.35
 # A stopping gateway ends after this long without requests, in seconds.
@@ -76,8 +60,6 @@
 BUDGET_SHARE = 0.75
 GATEWAYS_GUESS = 10
 SUSPICIONS_WAITING = 64
-NOT_FOUND = 404
-UNAVAILABLE = 503
 TIMELINE_CAPACITY = 2000
 
 
@@ -88,13 +70,6 @@
         """Returns what an item says; None for what concerns nobody."""
 
 
-class OutcomeWriter(Protocol):
-    """Writes how rollouts stand, in the platform's own form."""
-
-    def __call__(self, version: str, state: RolloutState) -> str:
-        """Returns the value to store."""
-
-
 class GatewayDaemon:
     """Wires the parts of a gateway together and runs their tasks."""
 
@@ -128,8 +103,6 @@
         self._names = names
         self._caller_config = hypercorn.config.Config()
         self._registry = registry
-        self._encode_outcome = encode_outcome
-        self._outcome_prefix = outcome_prefix
         self._clock = clock or SystemClock()
         self._hybrid = HybridClock(clock=self._clock)
         self._timeline = Timeline(
@@ -143,6 +116,7 @@
         self._leaving = False
         self._make_state()
         self._make_connections()
+        self._make_control_tasks(encode_outcome, outcome_prefix)
         self._make_steering()
 
     def _make_state(self) -> None:
@@ -174,7 +148,7 @@
         self._crashes = CrashRegistry(settings=self._retry_settings)
         self._rollouts = RolloutRegister()
         self._evidence = EvidenceCounter()
-        self._cases_by_service: dict[str, RolloutCase] = {}
+        self._cases = RolloutCases()
         self._live_names: list[str] = [settings.name]
 
     def _make_connections(self) -> None:
@@ -205,6 +179,54 @@
             Suspicion
         ](SUSPICIONS_WAITING)
 
+    def _make_control_tasks(
+        self, encode_outcome: OutcomeWriter, outcome_prefix: str
+    ) -> None:
+        settings = self._settings
+        port = settings.peer_port
+        self._reporter = Reporter(
+            peers=self._peers,
+            client=self._peer_client,
+            seeds=[f"{s.rpartition(':')[0]}:{port}" for s in settings.seeds],
+            feed=self._feed,
+            mirror=self._mirror,
+            catalog=self._catalog,
+            quota=self._quota,
+            crashes=self._crashes,
+            rollouts=self._rollouts,
+            cases=self._cases,
+            evidence=self._evidence,
+            is_ready=self._is_ready,
+            clock=self._clock,
+            timeline=self._timeline,
+        )
+        self._rollout_task = RolloutTask(
+            cases=self._cases,
+            rollouts=self._rollouts,
+            catalog=self._catalog,
+            evidence=self._evidence,
+            peers=self._peers,
+            client=self._peer_client,
+            store=self._store,
+            mirror=self._mirror,
+            encode=encode_outcome,
+            key_prefix=outcome_prefix,
+            exposure=settings.exposure_share,
+            take_state=self._reporter.take_state,
+            take_items=self._take_items,
+            clock=self._clock,
+            timeline=self._timeline,
+        )
+        self._endpoints = Endpoints(
+            settings=settings,
+            names=self._names,
+            peers=self._peers,
+            metrics=self._metrics,
+            is_ready=self._is_ready,
+            stop=self._stop,
+            clock=self._clock,
+        )
+
     def _make_steering(self) -> None:
         selector = TargetSelector(
             catalog=self._catalog,
@@ -259,24 +281,22 @@
             for name, task in (
                 ("feed", self._feed.run),
                 ("registration", self._registration.run),
-                ("report", self._report),
+                ("report", self._reporter.run),
                 ("upkeep", self._upkeep),
-                ("rollouts", self._drive_rollouts),
+                ("rollouts", self._rollout_task.run),
                 ("suspicions", self._check_suspicions),
                 ("peers", self._serve_peers),
             ):
                 nursery.start_soon(supervise, name, task, self._timeline)
             nursery.start_soon(self._serve_callers)
-            nursery.start_soon(self._serve_readiness)
-            nursery.start_soon(self._serve_lookups)
-            nursery.start_soon(self._serve_metrics)
+            nursery.start_soon(self._endpoints.serve_readiness)
+            nursery.start_soon(self._endpoints.serve_lookups)
+            nursery.start_soon(self._endpoints.serve_metrics)
             nursery.start_soon(self._await_signals)
             await self._stop.wait()
             nursery.cancel_scope.cancel()
         self._timeline.record("stopped")
 
-    # Servers.
-
     async def _serve_callers(self) -> None:
         await asgi.serve(
             self._steering.handle,
@@ -285,69 +305,9 @@
             config=self._caller_config,
         )
 
-    async def _serve_readiness(self) -> None:
-        await asgi.serve(
-            self._answer_readiness,
-            address=self._settings.readiness_address,
-            stop=self._stop,
-        )
-
-    async def _serve_lookups(self) -> None:
-        await asgi.serve(
-            self._answer_lookup,
-            address=self._settings.lookup_address,
-            stop=self._stop,
-        )
-
-    async def _serve_metrics(self) -> None:
-        address = f"{self._settings.ip}:{self._settings.metrics_port}"
-        await asgi.serve(self._answer_metrics, address=address, stop=self._stop)
-
     def _is_ready(self) -> bool:
         return self._catalog.plan.number > 0 and not self._leaving
 
-    async def _answer_readiness(
-        self, request: asgi.HttpRequest, send: asgi.Send
-    ) -> None:
-        status = 200 if self._is_ready() else UNAVAILABLE
-        await asgi.HttpResponse(status=status).send(send)
-
-    async def _answer_lookup(
-        self, request: asgi.HttpRequest, send: asgi.Send
-    ) -> None:
-        if request.path != self._names.lookup_path:
-            await asgi.HttpResponse(status=NOT_FOUND).send(send)
-            return
-        query = parse_qs(request.query)
-        addresses = entries_for(
-            self._peers,
-            region=query.get(self._names.lookup_region, [""])[0],
-            data_centre=query.get(self._names.lookup_data_centre, [""])[0],
-            ready=self._is_ready(),
-            now=self._clock.now(),
-        )
-        if not addresses:
-            await asgi.HttpResponse(status=UNAVAILABLE).send(send)
-            return
-        body = {
-            self._names.lookup_addresses: addresses,
-            self._names.lookup_ttl: self._settings.lookup_ttl_s,
-        }
-        await asgi.json_response(body).send(send)
-
-    async def _answer_metrics(
-        self, request: asgi.HttpRequest, send: asgi.Send
-    ) -> None:
-        if request.path != METRICS_PATH:
-            await asgi.HttpResponse(status=NOT_FOUND).send(send)
-            return
-        self._metrics.revision.set({}, self._catalog.plan.number)
-        await asgi.HttpResponse(
-            body=self._metrics.text(), content_type=TEXT_TYPE
-        ).send(send)
-
-    # The copy of the store.
-
     def _take_items(self, items: list[Item]) -> None:
         now = self._clock.now()
         for item in items:
@@ -369,123 +329,15 @@
             return
         self._peers.learn(record, now)
 
-    # Peers.
-
     async def _serve_peers(self) -> None:
         server = PeerServer(
             address=self._peers.own.peer_address,
             codec=self._codec,
             clock=self._hybrid,
-            handler=self._answer_peer,
+            handler=self._reporter.answer,
         )
         await server.run()
 
-    async def _answer_peer(self, message: Message) -> Message | None:
-        match message:
-            case GatewayReport():
-                self._hear(message)
-                return self._own_report()
-            case MirrorRequest():
-                return self._feed.changes_since(message)
-            case EvidenceRequest(services=services):
-                return EvidenceReply(
-                    incarnation=self._peers.own.incarnation,
-                    tallies=self._evidence.of_services(services),
-                )
-        return None
-
-    def _own_report(self) -> GatewayReport:
-        now = self._clock.now()
-        return GatewayReport(
-            record=self._peers.own,
-            ready=self._is_ready(),
-            as_of=self._mirror.as_of,
-            feed=self._feed.feed,
-            use=self._quota.use(now),
-            demand=self._catalog.demand(),
-            crashes=self._crashes.shared(),
-            states=list(self._rollouts.states_by_name.values()),
-            rollouts=[
-                RolloutProgress(
-                    case.order.service, case.order.revision, now - case.seen_at
-                )
-                for case in self._cases_by_service.values()
-            ],
-            known=self._peers.records(now),
-        )
-
-    def _hear(self, report: GatewayReport) -> None:
-        now = self._clock.now()
-        if self._peers.hear(report, now):
-            self._timeline.record("gateway-live", name=report.record.name)
-        if report.record.name == self._settings.name:
-            return
-        self._quota.hear(
-            report.record.name,
-            report.use,
-            incarnation=report.record.incarnation,
-            now=now,
-        )
-        for print_ in self._crashes.hear(report.crashes, now):
-            self._timeline.record(
-                "request-refused-for-crashes",
-                fingerprint=print_,
-                source=report.record.name,
-            )
-        for state in report.states:
-            self._take_state(state, source=report.record.name)
-        for progress in report.rollouts:
-            self._hear_progress(progress, now)
-
-    def _hear_progress(self, progress: RolloutProgress, now: float) -> None:
-        case = self._cases_by_service.get(progress.service)
-        if case is not None and case.order.revision == progress.revision:
-            case.seen_at = min(case.seen_at, now - progress.age_s)
-
-    def _take_state(self, state: MoveState, *, source: str) -> None:
-        if self._rollouts.hear(state):
-            self._timeline.record(
-                "rollout-state",
-                name=state.name,
-                phase=state.phase.name.lower(),
-                share=state.share,
-                why=state.reason,
-                source=source,
-            )
-
-    async def _report(self) -> None:
-        port = self._settings.peer_port
-        seeds = [
-            f"{seed.rpartition(':')[0]}:{port}" for seed in self._settings.seeds
-        ]
-        while True:
-            started = trio.current_time()
-            now = self._clock.now()
-            async with trio.open_nursery() as nursery:
-                for address in self._peers.addresses(seeds, now):
-                    nursery.start_soon(self._talk, address)
-            await trio.sleep_until(started + REPORT_PERIOD_S)
-
-    async def _talk(self, address: str) -> None:
-        reply = await self._peer_client.ask(address, self._own_report())
-        if not isinstance(reply, Ok):
-            return
-        report = reply.ok_value
-        if not isinstance(report, GatewayReport):
-            return
-        self._hear(report)
-        if report.as_of > self._mirror.as_of:
-            await self._pull(address)
-
-    async def _pull(self, address: str) -> None:
-        """Takes in what a peer's copy of the store has and ours has not."""
-        request = MirrorRequest(after=self._mirror.as_of)
-        reply = await self._peer_client.ask(address, request)
-        if isinstance(reply, Ok) and isinstance(reply.ok_value, MirrorReply):
-            self._feed.take_changes(reply.ok_value)
-
-    # Upkeep.
-
     async def _upkeep(self) -> None:
         swept_at = 0.0
         while True:
@@ -506,6 +358,7 @@
             if now - swept_at > SWEEP_PERIOD_S:
                 swept_at = now
                 self._catalog.balance(self._demand_by_region(now))
+                self._metrics.revision.set({}, self._catalog.plan.number)
                 await self._pool.sweep(self._catalog.views_by_name())
             await trio.sleep(UPKEEP_PERIOD_S)
 
@@ -557,140 +410,6 @@
             return
         await trio.aclose_forcefully(stream)
 
-    # Rollouts.
-
-    async def _drive_rollouts(self) -> None:
-        while True:
-            self._open_cases()
-            for case in list(self._cases_by_service.values()):
-                await self._drive(case)
-            await trio.sleep(ROLLOUT_PERIOD_S)
-
-    def _open_cases(self) -> None:
-        orders = self._catalog.orders_by_service
-        for service, case in list(self._cases_by_service.items()):
-            if orders.get(service) != case.order:
-                del self._cases_by_service[service]
-        for service, order in orders.items():
-            if service not in self._cases_by_service:
-                self._cases_by_service[service] = RolloutCase(
-                    order=order,
-                    judge=Judge(service=service, old="old", new="new"),
-                    seen_at=self._clock.now(),
-                )
-
-    def _has_ended(self, order: RolloutOrder) -> bool:
-        outcome = self._catalog.outcomes_by_service.get(order.service)
-        return (
-            outcome is not None
-            and outcome.version == order.version
-            and outcome.revision > order.revision
-            and outcome.state is not RolloutState.RUNNING
-        )
-
-    async def _drive(self, case: RolloutCase) -> None:
-        order = case.order
-        if self._has_ended(order):
-            return
-        first = rank(self._live_names, subject=order.service)[0]
-        if first != self._settings.name:
-            return
-        case.add(await self._read_counters(order.service))
-        name = move_name(order)
-        state = self._rollouts.states_by_name.get(name)
-        decided = case.decide(
-            state,
-            exposure=self._settings.exposure_share,
-            now=self._clock.now(),
-        )
-        if decided is not None:
-            self._take_state(decided, source=self._settings.name)
-            state = decided
-        if state is not None:
-            await self._write_outcome(order, state)
-
-    async def _read_counters(
-        self, service: str
-    ) -> dict[tuple[str, ...], Tally]:
-        own = self._peers.own
-        tallies: dict[tuple[str, ...], Tally] = {}
-
-        def take(name: str, reply: EvidenceReply) -> None:
-            for tally in reply.tallies:
-                key = (
-                    name,
-                    str(reply.incarnation),
-                    tally.version,
-                    tally.route,
-                )
-                tallies[key] = tally
-
-        async def read(name: str, address: str) -> None:
-            reply = await self._peer_client.ask(
-                address, EvidenceRequest(services=[service])
-            )
-            if isinstance(reply, Ok) and isinstance(
-                reply.ok_value, EvidenceReply
-            ):
-                take(name, reply.ok_value)
-
-        take(
-            own.name,
-            EvidenceReply(
-                incarnation=own.incarnation,
-                tallies=self._evidence.of_services([service]),
-            ),
-        )
-        async with trio.open_nursery() as nursery:
-            for peer in self._peers.live(self._clock.now()):
-                nursery.start_soon(
-                    read, peer.record.name, peer.record.peer_address
-                )
-        return tallies
-
-    async def _write_outcome(
-        self, order: RolloutOrder, state: MoveState
-    ) -> None:
-        wanted = {
-            Phase.RUNNING: RolloutState.RUNNING,
-            Phase.COMPLETED: RolloutState.COMPLETED,
-            Phase.TAKEN_BACK: RolloutState.TAKEN_BACK,
-        }[state.phase]
-        key = self._outcome_prefix + order.service
-        known = self._mirror.get(key)
-        outcome = self._catalog.outcomes_by_service.get(order.service)
-        if (
-            outcome is not None
-            and outcome.revision > order.revision
-            and outcome.version == order.version
-            and outcome.state is wanted
-        ):
-            return
-        value = self._encode_outcome(order.version, wanted)
-        reply = await self._store.swap(
-            key, value, expected=known.revision if known is not None else 0
-        )
-        match reply:
-            case Ok(item):
-                self._take_items(self._mirror.merge([item], as_of=0))
-                self._timeline.record(
-                    "rollout-written",
-                    service=order.service,
-                    state=wanted.value,
-                    why=state.reason,
-                )
-            case Err(Conflict(current=current)):
-                self._take_items(self._mirror.merge([current], as_of=0))
-            case Err(error):
-                self._timeline.record(
-                    "rollout-not-written",
-                    service=order.service,
-                    state=wanted.value,
-                    why=error.detail,
-                )
-
-    # Signals.
-
     async def _await_signals(self) -> None:
         with trio.open_signal_receiver(
             signal.SIGTERM, signal.SIGINT, signal.SIGHUP
@@ -722,7 +441,7 @@
         async with trio.open_nursery() as nursery:
             for peer in self._peers.live(started):
                 nursery.start_soon(
-                    partial(self._talk, peer.record.peer_address)
+                    partial(self._reporter.talk, peer.record.peer_address)
                 )
         accept_until = min(end, started + STOP_ACCEPT_S)
         while self._clock.now() < end:
--- a/kingcupvane/process/rollout.py
+++ b/kingcupvane/process/rollout.py
@@ -175,3 +175,32 @@
             return False
         self.states_by_name[state.name] = state
         return True
+
+
+class RolloutCases:
+    """The rollouts that run, by service."""
+
+    def __init__(self):
+        """Starts without any."""
+        self._cases_by_service: dict[str, RolloutCase] = {}
+
+    def get(self, service: str) -> RolloutCase | None:
+        """Returns the rollout of a service, None without one."""
+        return self._cases_by_service.get(service)
+
+    def values(self) -> list[RolloutCase]:
+        """Returns all rollouts."""
+        return list(self._cases_by_service.values())
+
+    def follow(self, orders: Mapping[str, RolloutOrder], now: float) -> None:
+        """Opens a case for each new order and closes those withdrawn."""
+        for service, case in list(self._cases_by_service.items()):
+            if orders.get(service) != case.order:
+                del self._cases_by_service[service]
+        for service, order in orders.items():
+            if service not in self._cases_by_service:
+                self._cases_by_service[service] = RolloutCase(
+                    order=order,
+                    judge=Judge(service=service, old=OLD, new=NEW),
+                    seen_at=now,
+                )
--- /dev/null
+++ b/kingcupvane/process/rollout_task.py
@@ -0,0 +1,215 @@
+"""Drives the rollouts for which this gateway ranks first."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+import trio
+from result import Err, Ok
+
+from kingcupvane.clock import Clock
+from kingcupvane.connection.messages import EvidenceReply, EvidenceRequest
+from kingcupvane.connection.peer import PeerClient
+from kingcupvane.process.catalog import Catalog
+from kingcupvane.process.evidence import EvidenceCounter
+from kingcupvane.process.item import ABSENT, Item
+from kingcupvane.process.mirror import Mirror
+from kingcupvane.process.peering import PeerTable
+from kingcupvane.process.rollout import (
+    RolloutCase,
+    RolloutCases,
+    RolloutRegister,
+    move_name,
+)
+from kingcupvane.process.store import Conflict, Store
+from kingcupvane.process.timeline import Timeline
+from kingcupvane.request.routing import rank
+from kingcupvane.version.judge import Tally
+from kingcupvane.version.move import MoveState, Phase
+from kingcupvane.version.plan import RolloutOrder, RolloutState
+
+ROLLOUT_PERIOD_S = 0.25
+
+
+class OutcomeWriter(Protocol):
+    """Writes how rollouts stand, in the platform's own form."""
+
+    def __call__(self, version: str, state: RolloutState) -> str:
+        """Returns the value to store."""
+
+
+class RolloutTask:
+    """Collects evidence, decides and writes outcomes."""
+
+    def __init__(
+        self,
+        *,
+        cases: RolloutCases,
+        rollouts: RolloutRegister,
+        catalog: Catalog,
+        evidence: EvidenceCounter,
+        peers: PeerTable,
+        client: PeerClient,
+        store: Store,
+        mirror: Mirror,
+        encode: OutcomeWriter,
+        key_prefix: str,
+        exposure: float,
+        take_state: Callable[..., None],
+        take_items: Callable[[list[Item]], None],
+        clock: Clock,
+        timeline: Timeline,
+    ):
+        """Makes the task's state.
+
+        Args:
+            cases: Rollouts that run.
+            rollouts: What was decided on them.
+            catalog: Orders and their outcomes.
+            evidence: This gateway's own counters.
+            peers: The known gateways.
+            client: Reads the counters of peers.
+            store: Gets the outcomes.
+            mirror: The copy of the store.
+            encode: Writes an outcome.
+            key_prefix: Start of the keys of outcomes.
+            exposure: Largest part that a bad version may get, 0 to 1.
+            take_state: Takes a decision and its source.
+            take_items: Takes items that this task wrote or found.
+            clock: Monotonic clock.
+            timeline: Gets what was written.
+        """
+        self._cases = cases
+        self._rollouts = rollouts
+        self._catalog = catalog
+        self._evidence = evidence
+        self._peers = peers
+        self._client = client
+        self._store = store
+        self._mirror = mirror
+        self._encode_outcome = encode
+        self._outcome_prefix = key_prefix
+        self._exposure = exposure
+        self._take_state = take_state
+        self._take_items = take_items
+        self._clock = clock
+        self._timeline = timeline
+
+    async def run(self) -> None:
+        """Drives rollouts until cancelled."""
+        while True:
+            now = self._clock.now()
+            self._cases.follow(self._catalog.orders_by_service, now)
+            for case in self._cases.values():
+                await self._drive(case)
+            await trio.sleep(ROLLOUT_PERIOD_S)
+
+    def _has_ended(self, order: RolloutOrder) -> bool:
+        outcome = self._catalog.outcomes_by_service.get(order.service)
+        return (
+            outcome is not None
+            and outcome.version == order.version
+            and outcome.revision > order.revision
+            and outcome.state is not RolloutState.RUNNING
+        )
+
+    async def _drive(self, case: RolloutCase) -> None:
+        order = case.order
+        if self._has_ended(order):
+            return
+        live = self._peers.live_names(self._clock.now())
+        first = rank(live, subject=order.service)[0]
+        if first != self._peers.own.name:
+            return
+        case.add(await self._read_counters(order.service))
+        name = move_name(order)
+        state = self._rollouts.states_by_name.get(name)
+        decided = case.decide(
+            state,
+            exposure=self._exposure,
+            now=self._clock.now(),
+        )
+        if decided is not None:
+            self._take_state(decided, source=self._peers.own.name)
+            state = decided
+        if state is not None:
+            await self._write_outcome(order, state)
+
+    async def _read_counters(
+        self, service: str
+    ) -> dict[tuple[str, ...], Tally]:
+        own = self._peers.own
+        tallies: dict[tuple[str, ...], Tally] = {}
+
+        def take(name: str, reply: EvidenceReply) -> None:
+            for tally in reply.tallies:
+                key = (
+                    name,
+                    str(reply.incarnation),
+                    tally.version,
+                    tally.route,
+                )
+                tallies[key] = tally
+
+        async def read(name: str, address: str) -> None:
+            reply = await self._client.ask(
+                address, EvidenceRequest(services=[service])
+            )
+            if isinstance(reply, Ok) and isinstance(
+                reply.ok_value, EvidenceReply
+            ):
+                take(name, reply.ok_value)
+
+        take(
+            own.name,
+            EvidenceReply(
+                incarnation=own.incarnation,
+                tallies=self._evidence.of_services([service]),
+            ),
+        )
+        async with trio.open_nursery() as nursery:
+            for peer in self._peers.live(self._clock.now()):
+                nursery.start_soon(
+                    read, peer.record.name, peer.record.peer_address
+                )
+        return tallies
+
+    async def _write_outcome(
+        self, order: RolloutOrder, state: MoveState
+    ) -> None:
+        wanted = {
+            Phase.RUNNING: RolloutState.RUNNING,
+            Phase.COMPLETED: RolloutState.COMPLETED,
+            Phase.TAKEN_BACK: RolloutState.TAKEN_BACK,
+        }[state.phase]
+        key = self._outcome_prefix + order.service
+        known = self._mirror.get(key)
+        outcome = self._catalog.outcomes_by_service.get(order.service)
+        if (
+            outcome is not None
+            and outcome.revision > order.revision
+            and outcome.version == order.version
+            and outcome.state is wanted
+        ):
+            return
+        value = self._encode_outcome(order.version, wanted)
+        reply = await self._store.swap(
+            key, value, expected=known.revision if known is not None else ABSENT
+        )
+        match reply:
+            case Ok(item):
+                self._take_items(self._mirror.merge([item], as_of=0))
+                self._timeline.record(
+                    "rollout-written",
+                    service=order.service,
+                    state=wanted.value,
+                    why=state.reason,
+                )
+            case Err(Conflict(current=current)):
+                self._take_items(self._mirror.merge([current], as_of=0))
+            case Err(error):
+                self._timeline.record(
+                    "rollout-not-written",
+                    service=order.service,
+                    state=wanted.value,
+                    why=error.detail,
+                )
