Judge new versions on objects that they know

Objects now belong to one side, and times count against what was expected. Trial with it: requests above 6 kB stay in their data centre.

--- a/kingcupvane/request/placement.py
+++ b/kingcupvane/request/placement.py
@@ -24,7 +24,7 @@
 # that an object gets warm in one place only.
 WEIGHT_NEIGHBOUR_BULK = 0.1
 # Bytes from which a request counts as bulk.
-BULK_BYTES = 20_000
+BULK_BYTES = 6_000
 # Least weight of a target, so that all targets have a rank.
 WEIGHT_MIN = 1e-4
 # Candidates that are compared for one request.
@@ -422,6 +422,13 @@
     return min(RATIO_MAX, spent / expected) if expected > 0.0 else 0.0
 
 
+def expected_s(candidate: Candidate, work: WorkEstimate) -> float:
+    """Returns the time of an exchange if the target were like all others."""
+    own = work.warm_s if candidate.known else work.cold_s
+    wait = candidate.wait_s / candidate.view.slowness
+    return candidate.trip_s + wait + own
+
+
 def learn_work(
     work: WorkEstimate,
     candidate: Candidate,
--- a/kingcupvane/request/selection.py
+++ b/kingcupvane/request/selection.py
@@ -2,22 +2,24 @@
 
 from collections.abc import Callable, Iterator, Mapping
 
+from kingcupvane.hashing import spread
 from kingcupvane.process.catalog import Catalog
 from kingcupvane.process.rollout import (
     NEW,
+    OLD,
     RolloutRegister,
     move_name,
     shares_of,
 )
 from kingcupvane.request.passage import Passage
 from kingcupvane.request.placement import Candidate, TargetView, choose
-from kingcupvane.request.routing import ShareCounter
 from kingcupvane.version.move import VersionShare
 from kingcupvane.version.plan import RoutePlan
 
 # Bytes of an answer before any was seen, and the weight of a new one.
 ANSWER_BYTES = 2000
 ANSWER_SMOOTHING = 0.1
+UNIT = 2.0**64
 
 
 class DestinationPicker:
@@ -63,35 +65,22 @@
         self._catalog = catalog
         self._rollouts = rollouts
         self._gateways = gateways
-        self._shares_by_service: dict[str, ShareCounter] = {}
         self._answer_bytes_by_route: dict[str, float] = {}
 
-    def note_sent(self, service: str, side: str) -> None:
-        """Counts a request that a side of a rollout gets."""
-        if side:
-            self._shares_by_service[service].count(side)
-
     def note_answer(self, route: str, size: int) -> None:
         """Takes in the size of an answer, in bytes."""
         before = self._answer_bytes_by_route.get(route, ANSWER_BYTES)
         change = ANSWER_SMOOTHING * (size - before)
         self._answer_bytes_by_route[route] = before + change
 
-    def place(
-        self, passage: Passage, now: float
-    ) -> tuple[Candidate | None, str]:
-        """Returns the best target, and which side of a rollout it is on."""
+    def place(self, passage: Passage, now: float) -> Candidate | None:
+        """Returns the best target, None when there is none to use."""
         service = passage.service
         shares = self._shares(service)
         size = len(passage.body) + int(
             self._answer_bytes_by_route.get(passage.route.name, ANSWER_BYTES)
         )
-        sides = [""]
-        if shares is not None:
-            counter = self._shares_by_service.setdefault(
-                service, ShareCounter()
-            )
-            sides = counter.choose(shares)
+        sides = [""] if shares is None else _sides(shares, passage.ranked_by)
         for side in sides:
             usable = {
                 view.target.name: True
@@ -109,8 +98,8 @@
                 now=now,
             )
             if candidate is not None:
-                return candidate, side
-        return None, ""
+                return candidate
+        return None
 
     def _shares(self, service: str) -> Mapping[str, VersionShare] | None:
         order = self._catalog.orders_by_service.get(service)
@@ -146,3 +135,17 @@
             if not catalog.cold.may_use(target.name, gateways, now):
                 continue
             yield view
+
+
+def _sides(shares: Mapping[str, VersionShare], subject: str) -> list[str]:
+    """Returns the sides of a rollout that may serve an object, in order.
+
+    An object belongs to one side, so that the new version is compared on
+    objects that it knows, as the old one is.
+    """
+    part = shares[NEW].share
+    if part <= 0.0:
+        return [OLD]
+    if spread(f"side/{subject}") / UNIT < part:
+        return [NEW, OLD]
+    return [OLD]
--- a/kingcupvane/request/sending.py
+++ b/kingcupvane/request/sending.py
@@ -28,6 +28,7 @@
     Ending,
     ReportedLoad,
     TargetView,
+    expected_s,
     learn_work,
     ratio_of,
 )
@@ -41,6 +42,8 @@
 # Scheduler rounds that pass before a request is sent on.
 DEPARTURE_CHECKPOINTS = 2
 SERVER_ERROR_MIN = 500
+# Latency that an exchange of just the expected time counts as, in seconds.
+EVIDENCE_UNIT_S = 0.1
 
 
 class TargetSender:
@@ -64,7 +67,7 @@
         Args:
             catalog: Targets and their work.
             pool: Connections to targets.
-            selector: Counts what sides of rollouts get.
+            selector: Learns the size of answers.
             crashes: Requests that crash targets.
             evidence: Counts what versions do.
             names: Names on the wire.
@@ -83,22 +86,18 @@
         self._tell = tell
         self._suspect = suspect
 
-    async def send(
-        self, passage: Passage, candidate: Candidate, side: str
-    ) -> Attempt:
+    async def send(self, passage: Passage, candidate: Candidate) -> Attempt:
         """Sends a request to a target and takes in what that shows.
 
         Args:
             passage: The request.
             candidate: The target and what is expected of it.
-            side: Its side of a rollout; empty without one.
         """
         catalog = self._catalog
         view = candidate.view
         target = view.target
         started = self._clock.now()
         passage.sends.append(target.name)
-        self._selector.note_sent(passage.service, side)
         catalog.cold.count(
             target.name, rate=catalog.cold_rate(target.service), now=started
         )
@@ -146,26 +145,36 @@
                 request=passage.id,
             )
         if passage.service in self._catalog.orders_by_service:
-            self._count_evidence(passage, view, attempt, seconds)
+            self._count_evidence(passage, candidate, attempt, seconds)
         if answered:
             self._crashes.clear(passage.print_)
 
     def _count_evidence(
         self,
         passage: Passage,
-        view: TargetView,
+        candidate: Candidate,
         attempt: Attempt,
         seconds: float,
     ) -> None:
+        """Counts what an attempt shows of its target's version.
+
+        Its time is taken against what was expected, so that objects which are
+        new to a version do not speak against it.
+        """
+        target = candidate.view.target
         if attempt.ending in (Ending.CANCELLED, Ending.SHED):
             return
+        if self._catalog.cold.is_cold(target.name, self._clock.now()):
+            return
+        work = self._catalog.work(passage.service)
+        expected = expected_s(candidate, work)
         self._evidence.add(
             Sample(
                 service=passage.service,
-                version=view.target.version,
+                version=target.version,
                 route=passage.route.prefix,
                 failed=attempt.ending is not Ending.ANSWERED,
-                latency_s=seconds,
+                latency_s=EVIDENCE_UNIT_S * seconds / expected,
             )
         )
 
--- a/kingcupvane/request/steering.py
+++ b/kingcupvane/request/steering.py
@@ -203,7 +203,7 @@
             left = passage.deadline - now
             if left < USEFUL_MIN_S:
                 return Err(self._give_up(passage, last, "no time is left"))
-            candidate, side = self._selector.place(passage, now)
+            candidate = self._selector.place(passage, now)
             if candidate is None:
                 return Err(self._give_up(passage, last, "no target is free"))
             allowed = allowed_wait_s(
@@ -218,7 +218,7 @@
                 return Err(self._give_up(passage, last, why))
             if last is not None and not self._may_repeat(passage, last):
                 return self._settle(passage, last)
-            last = await self._sender.send(passage, candidate, side)
+            last = await self._sender.send(passage, candidate)
             if last.ending is Ending.ANSWERED:
                 return self._settle(passage, last)
             if not self._is_worth_repeating(passage, last):
