--- a/kingcupvane/request/placement.py
+++ b/kingcupvane/request/placement.py
@@ -24,7 +24,7 @@
 # that an object gets warm in one place only.
 WEIGHT_NEIGHBOUR_BULK = 0.1
 # Bytes from which a request counts as bulk.
-BULK_BYTES = 6_000
+BULK_BYTES = 20_000
 # Least weight of a target, so that all targets have a rank.
 WEIGHT_MIN = 1e-4
 # Candidates that are compared for one request.
