Log one line a request through a bounded buffer; serve the metrics of a gateway

Cause: a reader of standard output that stops would have held up requests, and a refusal's line did not tell what decided it. Lines now pass a bounded buffer and a thread; routine lines are left out first and what is left out is said. Not yet measured: its cost at 1,000 requests a second.

--- a/kingcupvane/connection/endpoints.py
+++ b/kingcupvane/connection/endpoints.py
@@ -8,7 +8,7 @@
 
 from kingcupvane import asgi
 from kingcupvane.clock import Clock
-from kingcupvane.process.metrics import METRICS_PATH, TEXT_TYPE, Metrics
+from kingcupvane.process.metrics import METRICS_PATH, TEXT_TYPE, MetricSet
 from kingcupvane.process.peering import PeerTable, entries_for
 from kingcupvane.request.passage import WireNames
 from kingcupvane.settings import GatewaySettings
@@ -23,7 +23,7 @@
         settings: GatewaySettings,
         names: WireNames,
         peers: PeerTable,
-        metrics: Metrics,
+        metrics: MetricSet,
         is_ready: Callable[[], bool],
         stop: trio.Event,
         clock: Clock,
--- a/kingcupvane/platform/__main__.py
+++ b/kingcupvane/platform/__main__.py
@@ -4,9 +4,9 @@
 import sys
 
 import trio
-from loguru import logger
 
 from kingcupvane import settings
+from kingcupvane.clock import SystemClock
 from kingcupvane.errors import UsageError
 from kingcupvane.platform.names import NAMES
 from kingcupvane.platform.registry import (
@@ -16,6 +16,7 @@
 )
 from kingcupvane.platform.store import PlatformStore
 from kingcupvane.process.gateway import GatewayDaemon
+from kingcupvane.process.logs import install
 
 SETTINGS_VARIABLE = "KINGCUPVANE_CONFIG"
 EXIT_USAGE = 2
@@ -35,8 +36,8 @@
 
 def main() -> int:
     """Runs a gateway; returns the exit status."""
-    logger.remove()
-    logger.add(sys.stdout, format="level={level} {message}", level="INFO")
+    clock = SystemClock()
+    log_buffer = install(clock, sys.stdout.fileno())
     try:
         loaded = load()
     except UsageError as error:
@@ -53,8 +54,11 @@
         encode_outcome=encode_outcome,
         outcome_prefix=OUTCOME_PREFIX,
         reload=load,
+        log_buffer=log_buffer,
+        clock=clock,
     )
     trio.run(daemon.run)
+    log_buffer.flush()
     return 0
 
 
--- a/kingcupvane/process/catalog.py
+++ b/kingcupvane/process/catalog.py
@@ -177,6 +177,13 @@
         """Returns all registered targets."""
         return self._views_by_name
 
+    def target_counts(self) -> dict[str, int]:
+        """Returns the number of registered targets by service."""
+        return {
+            service: len(views)
+            for service, views in self._views_by_service.items()
+        }
+
     def ranking(
         self, service: str, subject: str, *, size: int
     ) -> list[TargetView]:
--- a/kingcupvane/process/feed.py
+++ b/kingcupvane/process/feed.py
@@ -45,6 +45,8 @@
 
     Attributes:
         feed: Where the copy comes from now.
+        confirmed_at: Monotonic time at which the store or a peer that is
+            ahead last fed the copy, in seconds.
     """
 
     def __init__(
@@ -77,6 +79,7 @@
         self._clock = clock
         self._timeline = timeline
         self.feed = Feed.LOST
+        self.confirmed_at = clock.now()
         self._pause_s = RETRY_S
 
     async def run(self) -> None:
@@ -107,6 +110,7 @@
             self._pause_s = min(RETRY_MAX_S, 2 * self._pause_s)
             return
         self._pause_s = RETRY_S
+        self.confirmed_at = self._clock.now()
         if self.feed is not Feed.STORE:
             self.feed = Feed.STORE
             self._timeline.record("store-regained", as_of=self._mirror.as_of)
@@ -160,6 +164,7 @@
 
     def take_changes(self, reply: MirrorReply) -> None:
         """Takes in what a peer's copy has."""
+        self.confirmed_at = self._clock.now()
         mirror = self._mirror
         take = mirror.replace if reply.whole else mirror.merge
         self._take(take(reply.items, as_of=reply.as_of))
--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -28,7 +28,8 @@
 from kingcupvane.process.evidence import EvidenceCounter
 from kingcupvane.process.feed import LEASE_CONTACTS, Registration, StoreFeed
 from kingcupvane.process.item import Item
-from kingcupvane.process.metrics import Metrics
+from kingcupvane.process.logs import LogBuffer, RequestLog
+from kingcupvane.process.metrics import GatewayMetrics
 from kingcupvane.process.mirror import Mirror
 from kingcupvane.process.peering import PeerTable
 from kingcupvane.process.reporting import Reporter
@@ -83,6 +84,7 @@
         encode_outcome: OutcomeWriter,
         outcome_prefix: str,
         reload: Callable[[], GatewaySettings] | None = None,
+        log_buffer: LogBuffer | None = None,
         clock: Clock | None = None,
     ):
         """Makes a daemon; `run` starts it.
@@ -95,6 +97,7 @@
             encode_outcome: Writes how rollouts stand.
             outcome_prefix: Start of the keys of those records.
             reload: Reads the settings again; None to keep them.
+            log_buffer: Where the lines go; None when that is not bounded.
             clock: The process's clocks; those of the system by default.
         """
         self._settings = settings
@@ -110,7 +113,9 @@
             clock=self._hybrid,
             capacity=TIMELINE_CAPACITY,
         )
-        self._metrics = Metrics()
+        self._metrics = GatewayMetrics()
+        self._request_log = RequestLog(process=settings.name, clock=self._clock)
+        self._log_buffer = log_buffer
         self._stop = trio.Event()
         self._stop_callers = trio.Event()
         self._leaving = False
@@ -228,6 +233,7 @@
         )
 
     def _make_steering(self) -> None:
+        self._budgets = RetryBudgets(make=self._make_budget)
         selector = TargetSelector(
             catalog=self._catalog,
             rollouts=self._rollouts,
@@ -239,6 +245,7 @@
             selector=selector,
             crashes=self._crashes,
             evidence=self._evidence,
+            metrics=self._metrics,
             names=self._names,
             clock=self._clock,
             tell=self._timeline.record,
@@ -250,10 +257,11 @@
             sender=sender,
             quota=self._quota,
             crashes=self._crashes,
-            budgets=RetryBudgets(make=self._make_budget),
+            budgets=self._budgets,
+            metrics=self._metrics,
             names=self._names,
             clock=self._clock,
-            tell=self._timeline.record,
+            tell=self._request_log.tell,
         )
 
     def _make_budget(self) -> RetryBudget:
@@ -358,10 +366,29 @@
             if now - swept_at > SWEEP_PERIOD_S:
                 swept_at = now
                 self._catalog.balance(self._demand_by_region(now))
-                self._metrics.revision.set({}, self._catalog.plan.number)
+                self._measure(now)
                 await self._pool.sweep(self._catalog.views_by_name())
             await trio.sleep(UPKEEP_PERIOD_S)
 
+    def _measure(self, now: float) -> None:
+        """Sets the metrics that show a state."""
+        metrics = self._metrics
+        metrics.active.set({}, self._steering.active)
+        metrics.plan_number.set({}, self._catalog.plan.number)
+        metrics.plan_age.set({}, round(now - self._feed.confirmed_at, 3))
+        metrics.gateways.set({}, len(self._live_names))
+        metrics.connections_opened.set({}, self._pool.opened)
+        for operation, count in self._store.calls.items():
+            metrics.store_calls.set({"operation": operation}, count)
+        for service, count in self._catalog.target_counts().items():
+            metrics.targets.set({"service": service}, count)
+        for account, left in self._quota.left().items():
+            metrics.quota_left.set({"account": account}, round(left, 1))
+        for service, left in self._budgets.left().items():
+            metrics.retry_budget.set({"service": service}, round(left, 1))
+        if self._log_buffer is not None:
+            metrics.log_lines_left_out.set({}, self._log_buffer.left_out)
+
     def _demand_by_region(self, now: float) -> dict[str, dict[str, float]]:
         """Returns the requests a second by region and service."""
         total: dict[str, dict[str, float]] = {}
--- /dev/null
+++ b/kingcupvane/process/logs.py
@@ -0,0 +1,172 @@
+"""Structured logs that never hold up the process.
+
+Lines go into a bounded buffer that a thread of its own writes out. When lines
+come faster than they are read, routine ones are left out first; what was left
+out is counted and said in a line of its own.
+"""
+
+import os
+import threading
+from collections import deque
+from collections.abc import Callable
+
+from loguru import logger
+
+from kingcupvane.clock import Clock
+from kingcupvane.process.timeline import quote
+from kingcupvane.request.bucket import Bucket
+
+# Lines that wait to be written at most.
+LINES_MAX = 4000
+# Lines a second that are taken in the long run, and at once.
+ROUTINE_RATE = 60.0
+ROUTINE_BURST = 200.0
+NOTABLE_RATE = 400.0
+NOTABLE_BURST = 2000.0
+# Time that the end of the process waits for the last lines, in seconds.
+FLUSH_S = 0.2
+ROUTINE = "routine"
+
+
+class LogBuffer:
+    """Lines on their way to a file descriptor.
+
+    Attributes:
+        left_out: Lines that were not taken since the start.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        write: Callable[[bytes], object],
+        lines_max: int = LINES_MAX,
+    ):
+        """Makes an empty buffer; `start` begins to write.
+
+        Args:
+            clock: Monotonic clock.
+            write: Writes bytes and may block.
+            lines_max: Lines that wait at most.
+        """
+        self._clock = clock
+        self._write = write
+        self._lines_max = lines_max
+        self._notable: deque[str] = deque()
+        self._routine: deque[str] = deque()
+        self._changed = threading.Condition()
+        self._told = 0
+        self.left_out = 0
+        now = clock.now()
+        self._buckets = {}
+        for routine, rate, size in (
+            (True, ROUTINE_RATE, ROUTINE_BURST),
+            (False, NOTABLE_RATE, NOTABLE_BURST),
+        ):
+            bucket = Bucket(now=now - size / rate)
+            bucket.resize(rate=rate, size=size, now=now - size / rate)
+            self._buckets[routine] = bucket
+
+    def put(self, line: str, *, routine: bool) -> None:
+        """Takes a line, or counts it as left out; never blocks on output."""
+        now = self._clock.now()
+        with self._changed:
+            if not self._buckets[routine].take(now):
+                self.left_out += 1
+                return
+            if len(self._notable) + len(self._routine) >= self._lines_max:
+                self.left_out += 1
+                if routine or not self._routine:
+                    return
+                self._routine.popleft()
+            lines = self._routine if routine else self._notable
+            lines.append(line)
+            self._changed.notify()
+
+    def start(self) -> None:
+        """Writes lines from a thread of its own from now on."""
+        thread = threading.Thread(target=self._run, daemon=True, name="logs")
+        thread.start()
+
+    def flush(self) -> None:
+        """Waits a moment until all lines are written."""
+        deadline = self._clock.now() + FLUSH_S
+        with self._changed:
+            while self._notable or self._routine:
+                left = deadline - self._clock.now()
+                if left <= 0 or not self._changed.wait(left):
+                    return
+
+    def _run(self) -> None:
+        while True:
+            with self._changed:
+                while not (self._notable or self._routine):
+                    self._changed.wait()
+                lines = [*self._notable, *self._routine]
+                self._notable.clear()
+                self._routine.clear()
+                if self.left_out > self._told:
+                    count = self.left_out - self._told
+                    self._told = self.left_out
+                    lines.append(
+                        f"level=WARNING event=log-lines-left-out count={count}"
+                    )
+                self._changed.notify_all()
+            self._write("".join(f"{line}\n" for line in lines).encode())
+
+
+def install(clock: Clock, descriptor: int) -> LogBuffer:
+    """Sends all lines of the process through a buffer.
+
+    Args:
+        clock: Monotonic clock.
+        descriptor: File descriptor that gets the lines.
+    """
+    buffer = LogBuffer(
+        clock=clock, write=lambda data: os.write(descriptor, data)
+    )
+
+    def sink(message: object) -> None:
+        record = message.record
+        line = f"level={record['level'].name} {record['message']}"
+        buffer.put(line, routine=record["extra"].get(ROUTINE, False))
+
+    logger.remove()
+    logger.add(sink, format="{message}", level="INFO")
+    buffer.start()
+    return buffer
+
+
+class RequestLog:
+    """One line for each request, outside the time line."""
+
+    def __init__(self, *, process: str, clock: Clock):
+        """Makes a log.
+
+        Args:
+            process: Name of this process.
+            clock: Wall clock.
+        """
+        self._process = process
+        self._clock = clock
+        self._routine = logger.bind(**{ROUTINE: True})
+
+    def tell(
+        self, kind: str, *, routine: bool = False, **fields: object
+    ) -> None:
+        """Logs an event of a request.
+
+        Args:
+            kind: Stable word for the kind of event.
+            routine: Whether it may be left out first.
+            **fields: Further facts.
+        """
+        pairs = " ".join(f"{k}={quote(str(v))}" for k, v in fields.items())
+        line = (
+            f"time_ms={self._clock.wall() * 1000:.0f}"
+            f" process={self._process} event={kind} {pairs}"
+        )
+        if routine:
+            self._routine.info("{}", line)
+        else:
+            logger.warning("{}", line)
--- a/kingcupvane/process/metrics.py
+++ b/kingcupvane/process/metrics.py
@@ -7,12 +7,36 @@
 SECONDS_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10]
 
 
-class Metrics:
+class MetricSet:
     """Counters, gauges and histograms in a registry of their own."""
 
     def __init__(self):
-        """Makes all metrics with no samples."""
+        """Makes an empty registry."""
         self._registry = Registry()
+
+    def _counter(self, name: str, doc: str) -> Counter:
+        return Counter(name, doc, registry=self._registry)
+
+    def _gauge(self, name: str, doc: str) -> Gauge:
+        return Gauge(name, doc, registry=self._registry)
+
+    def _seconds(self, name: str, doc: str) -> Histogram:
+        return Histogram(
+            name, doc, buckets=SECONDS_BUCKETS, registry=self._registry
+        )
+
+    def text(self) -> bytes:
+        """Returns all metrics in the text format."""
+        content, _ = render(self._registry, [TEXT_TYPE])
+        return content
+
+
+class Metrics(MetricSet):
+    """Metrics of an entry daemon."""
+
+    def __init__(self):
+        """Makes all metrics with no samples."""
+        super().__init__()
         self.requests = self._counter(
             "kingcupvane_requests_total", "Requests by service and outcome."
         )
@@ -35,20 +59,64 @@
             "kingcupvane_peer_bytes",
             "Bytes exchanged as asking side with other daemons since start.",
         )
-        self.request_seconds = Histogram(
+        self.request_seconds = self._seconds(
             "kingcupvane_request_duration_seconds",
             "Time from the request's headers to the end of its answer.",
-            buckets=SECONDS_BUCKETS,
-            registry=self._registry,
         )
 
-    def _counter(self, name: str, doc: str) -> Counter:
-        return Counter(name, doc, registry=self._registry)
 
-    def _gauge(self, name: str, doc: str) -> Gauge:
-        return Gauge(name, doc, registry=self._registry)
+class GatewayMetrics(MetricSet):
+    """Metrics of a gateway."""
 
-    def text(self) -> bytes:
-        """Returns all metrics in the text format."""
-        content, _ = render(self._registry, [TEXT_TYPE])
-        return content
+    def __init__(self):
+        """Makes all metrics with no samples."""
+        super().__init__()
+        self.requests = self._counter(
+            "kingcupvane_requests_total",
+            "Requests by route, kind and outcome.",
+        )
+        self.request_seconds = self._seconds(
+            "kingcupvane_request_duration_seconds",
+            "Time from the request's headers to its answer, by kind.",
+        )
+        self.exchanges = self._counter(
+            "kingcupvane_target_exchanges_total",
+            "Exchanges with targets by service and ending.",
+        )
+        self.refusals = self._counter(
+            "kingcupvane_refusals_total", "Requests refused by reason."
+        )
+        self.active = self._gauge(
+            "kingcupvane_requests_active", "Requests in the gateway now."
+        )
+        self.plan_number = self._gauge(
+            "kingcupvane_plan_number", "Version of the plan in force."
+        )
+        self.plan_age = self._gauge(
+            "kingcupvane_store_silence_seconds",
+            "Time since this gateway's copy of the store was confirmed.",
+        )
+        self.store_calls = self._gauge(
+            "kingcupvane_store_calls", "Store calls since start by operation."
+        )
+        self.gateways = self._gauge(
+            "kingcupvane_gateways_live", "Live gateways, this one included."
+        )
+        self.targets = self._gauge(
+            "kingcupvane_targets", "Registered targets by service."
+        )
+        self.quota_left = self._gauge(
+            "kingcupvane_quota_left_requests",
+            "Requests left in the bucket of each client account.",
+        )
+        self.retry_budget = self._gauge(
+            "kingcupvane_retry_budget_requests",
+            "Further attempts that this gateway may make, by service.",
+        )
+        self.connections_opened = self._gauge(
+            "kingcupvane_target_connections_opened",
+            "Connections to targets opened since start.",
+        )
+        self.log_lines_left_out = self._gauge(
+            "kingcupvane_log_lines_left_out", "Log lines left out since start."
+        )
--- a/kingcupvane/process/store.py
+++ b/kingcupvane/process/store.py
@@ -74,7 +74,13 @@
 
 
 class Store(Protocol):
-    """What the project needs of a platform's store."""
+    """What the project needs of a platform's store.
+
+    Attributes:
+        calls: Calls made since the start, by operation.
+    """
+
+    calls: dict[str, int]
 
     async def get(self, key: str) -> Result[Item, StoreError]:
         """Returns the item; its revision is `ABSENT` when there is none."""
--- a/kingcupvane/request/passage.py
+++ b/kingcupvane/request/passage.py
@@ -72,6 +72,8 @@
         service: Service that it goes to.
         sends: Targets that it was sent to.
         runs: Targets that may have run it.
+        trace: One word for each attempt: target, ending, milliseconds taken
+            and expected, expected wait, and whether it knew the object.
     """
 
     request: asgi.HttpRequest
@@ -87,6 +89,7 @@
     service: str = ""
     sends: list[str] = field(default_factory=list)
     runs: int = 0
+    trace: list[str] = field(default_factory=list)
 
     @property
     def id(self) -> str:
--- a/kingcupvane/request/quota.py
+++ b/kingcupvane/request/quota.py
@@ -240,6 +240,13 @@
             return CROWDED_S
         return account.own.wait_s(now)
 
+    def left(self) -> dict[str, float]:
+        """Returns the requests left in each account's bucket."""
+        return {
+            name: account.tokens
+            for name, account in self._accounts_by_name.items()
+        }
+
     def explain(self, plan: AccountPlan, now: float) -> str:
         """Returns the figures that decide about an account now."""
         account = self._account(plan, now)
--- a/kingcupvane/request/retry.py
+++ b/kingcupvane/request/retry.py
@@ -20,6 +20,11 @@
         self._settings = settings
         self._saved = float(settings.burst)
 
+    @property
+    def left(self) -> float:
+        """Retries that may be made now."""
+        return self._saved
+
     def earn(self) -> None:
         """Counts a first attempt."""
         settings = self._settings
--- a/kingcupvane/request/sending.py
+++ b/kingcupvane/request/sending.py
@@ -16,6 +16,7 @@
 )
 from kingcupvane.process.catalog import Catalog
 from kingcupvane.process.evidence import EvidenceCounter
+from kingcupvane.process.metrics import GatewayMetrics
 from kingcupvane.request.dispatch import Sample
 from kingcupvane.request.passage import (
     Attempt,
@@ -57,6 +58,7 @@
         selector: TargetSelector,
         crashes: CrashRegistry,
         evidence: EvidenceCounter,
+        metrics: GatewayMetrics,
         names: WireNames,
         clock: Clock,
         tell: Callable[..., None],
@@ -70,6 +72,7 @@
             selector: Learns the size of answers.
             crashes: Requests that crash targets.
             evidence: Counts what versions do.
+            metrics: Counts exchanges.
             names: Names on the wire.
             clock: Monotonic clock.
             tell: Takes a kind of event and its fields for the log.
@@ -81,6 +84,7 @@
         self._selector = selector
         self._crashes = crashes
         self._evidence = evidence
+        self._metrics = metrics
         self._names = names
         self._clock = clock
         self._tell = tell
@@ -120,6 +124,10 @@
         """Takes in what an attempt showed of its target."""
         now = self._clock.now()
         view = candidate.view
+        self._metrics.exchanges.inc(
+            {"service": passage.service, "ending": attempt.ending.value}
+        )
+        passage.trace.append(_trace(candidate, attempt, seconds))
         answered = attempt.ending is Ending.ANSWERED
         reported = None
         if attempt.answer is not None:
@@ -296,6 +304,17 @@
         await trio.lowlevel.checkpoint()
 
 
+def _trace(candidate: Candidate, attempt: Attempt, seconds: float) -> str:
+    """Returns one word on an attempt, for the request's line."""
+    known = "known" if candidate.known else "new"
+    return (
+        f"{candidate.view.target.name}:{attempt.ending.value}"
+        f":{seconds * MILLISECONDS_PER_SECOND:.0f}ms"
+        f":expected-{candidate.finish_s * MILLISECONDS_PER_SECOND:.0f}ms"
+        f":wait-{candidate.wait_s * MILLISECONDS_PER_SECOND:.0f}ms:{known}"
+    )
+
+
 def _reported(value: bytes | None) -> ReportedLoad | None:
     if value is None:
         return None
--- a/kingcupvane/request/steering.py
+++ b/kingcupvane/request/steering.py
@@ -12,10 +12,11 @@
 from result import Err, Ok, Result
 
 from kingcupvane import asgi, problem
-from kingcupvane.clock import Clock
+from kingcupvane.clock import MILLISECONDS_PER_SECOND, Clock
 from kingcupvane.connection.exchange import WireAnswer
 from kingcupvane.errors import Executed, Refusal, Step
 from kingcupvane.process.catalog import Catalog
+from kingcupvane.process.metrics import GatewayMetrics
 from kingcupvane.request.passage import (
     Attempt,
     Passage,
@@ -27,7 +28,11 @@
 from kingcupvane.request.reception import Reception
 from kingcupvane.request.retry import CrashRegistry, RetryBudget, fingerprint
 from kingcupvane.request.selection import DestinationPicker, TargetSelector
-from kingcupvane.request.sending import USEFUL_MIN_S, TargetSender
+from kingcupvane.request.sending import (
+    SERVER_ERROR_MIN,
+    USEFUL_MIN_S,
+    TargetSender,
+)
 from kingcupvane.request.waiting import allowed_wait_s, retry_after_s
 
 # Targets that one request may be sent to at most, refusals included.
@@ -51,6 +56,13 @@
         self._make = make
         self._budget_by_service: dict[str, RetryBudget] = {}
 
+    def left(self) -> dict[str, float]:
+        """Returns the further attempts that may be made, by service."""
+        return {
+            service: budget.left
+            for service, budget in self._budget_by_service.items()
+        }
+
     def of(self, service: str) -> RetryBudget:
         """Returns the budget of a service."""
         budget = self._budget_by_service.get(service)
@@ -78,6 +90,7 @@
         quota: QuotaDivision,
         crashes: CrashRegistry,
         budgets: RetryBudgets,
+        metrics: GatewayMetrics,
         names: WireNames,
         clock: Clock,
         tell: Callable[..., None],
@@ -91,9 +104,10 @@
             quota: Limits of client accounts.
             crashes: Requests that crash targets.
             budgets: Further attempts by service.
+            metrics: Counts requests and refusals.
             names: Names on the wire.
             clock: Monotonic clock.
-            tell: Takes a kind of event and its fields for the log.
+            tell: Takes a kind of event, whether it is routine, and its fields.
         """
         self._catalog = catalog
         self._selector = selector
@@ -101,6 +115,7 @@
         self._quota = quota
         self._crashes = crashes
         self._budgets = budgets
+        self._metrics = metrics
         self._names = names
         self._clock = clock
         self._tell = tell
@@ -123,40 +138,50 @@
     async def _handle(self, request: asgi.HttpRequest, send: asgi.Send) -> None:
         found = self._reception.open(request)
         if isinstance(found, Err):
-            await self._refuse(request, found.err_value, send)
+            await self._refuse(request, None, found.err_value, send)
             return
         passage = found.ok_value
+        outcome: Result[WireAnswer, Refusal] | None = None
         try:
-            limits = self._catalog.plan.limits
-            passage.body = await request.read_body(limit=limits.body_max_bytes)
+            outcome = await self._outcome(passage)
         except asgi.CallerGoneError:
-            self._tell("caller-gone", request=passage.id)
+            self._observe(passage, "caller-gone", 0)
             return
+        match outcome:
+            case Ok(answer):
+                await self._answer(passage, answer, send)
+            case Err(refusal):
+                await self._refuse(request, passage, refusal, send)
+
+    async def _outcome(self, passage: Passage) -> Result[WireAnswer, Refusal]:
+        """Returns what the caller of a request gets.
+
+        Raises:
+            CallerGoneError: The caller has left.
+        """
+        limit = self._catalog.plan.limits.body_max_bytes
+        try:
+            passage.body = await passage.request.read_body(limit=limit)
         except asgi.BodyTooLargeError:
-            refusal = refuse(
-                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-                "body-too-large",
-                Step.READ,
+            return Err(
+                refuse(
+                    HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                    "body-too-large",
+                    Step.READ,
+                )
             )
-            await self._refuse(request, refusal, send)
-            return
         admitted = self._admit(passage)
         if isinstance(admitted, Err):
-            await self._refuse(request, admitted.err_value, send)
-            return
+            return admitted
         outcome: Result[WireAnswer, Refusal] | None = None
         async with trio.open_nursery() as nursery:
             scope = nursery.cancel_scope
-            nursery.start_soon(request.cancel_when_closed, scope)
+            nursery.start_soon(passage.request.cancel_when_closed, scope)
             outcome = await self._serve(passage)
             scope.cancel()
-        match outcome:
-            case Ok(answer):
-                await self._answer(passage, answer, send)
-            case Err(refusal):
-                await self._refuse(request, refusal, send)
-            case None:
-                self._tell("caller-gone", request=passage.id)
+        if outcome is None:
+            raise asgi.CallerGoneError
+        return outcome
 
     def _admit(self, passage: Passage) -> Result[None, Refusal]:
         now = self._clock.now()
@@ -301,25 +326,31 @@
                 Step.EXCHANGE,
                 executed=Executed.UNKNOWN,
             )
-            await self._refuse(passage.request, refusal, send)
+            await self._refuse(passage.request, passage, refusal, send)
             return
         headers = [(n, v) for n, v in answer.headers if n != b"content-length"]
         headers.append((b"content-length", str(len(answer.body)).encode()))
+        self._observe(passage, "answered", status)
         await self._send(status, headers, answer.body, send)
 
     async def _refuse(
-        self, request: asgi.HttpRequest, refusal: Refusal, send: asgi.Send
+        self,
+        request: asgi.HttpRequest,
+        passage: Passage | None,
+        refusal: Refusal,
+        send: asgi.Send,
     ) -> None:
-        name = self._names.attempt.decode()
-        self._tell(
-            "request-refused",
-            request=request.headers.get(name, ""),
-            status=refusal.status,
-            reason=refusal.reason,
-            detail=refusal.detail,
-            executed=refusal.executed.value,
-            retry_after_s=round(refusal.retry_after_s, 3),
-        )
+        self._metrics.refusals.inc({"reason": refusal.reason})
+        if passage is not None:
+            self._observe(passage, refusal.reason, refusal.status, refusal)
+        else:
+            self._tell(
+                "request",
+                request=request.headers.get(self._names.attempt.decode(), ""),
+                outcome=refusal.reason,
+                status=refusal.status,
+                plan=self._catalog.plan.number,
+            )
         answer = problem.to_response(refusal, whole_seconds=False)
         headers = [
             (b"content-type", answer.content_type.encode()),
@@ -331,6 +362,44 @@
         ]
         await self._send(answer.status, headers, answer.body, send)
 
+    def _observe(
+        self,
+        passage: Passage,
+        outcome: str,
+        status: int,
+        refusal: Refusal | None = None,
+    ) -> None:
+        """Counts a request and logs one line on it and what decided it."""
+        seconds = self._clock.now() - passage.arrived_at
+        route = passage.route
+        labels = {"route": route.name, "kind": route.kind.value}
+        self._metrics.requests.inc({**labels, "outcome": outcome})
+        self._metrics.request_seconds.observe(
+            {"kind": route.kind.value}, seconds
+        )
+        facts = {}
+        if refusal is not None:
+            facts["executed"] = refusal.executed.value
+            facts["retry_after_s"] = round(refusal.retry_after_s, 3)
+            facts["why"] = refusal.detail
+        late = seconds > route.objective_s
+        failed = outcome != "answered" or status >= SERVER_ERROR_MIN
+        self._tell(
+            "request",
+            routine=not failed and not late,
+            request=passage.id,
+            outcome=outcome,
+            status=status,
+            ms=round(seconds * MILLISECONDS_PER_SECOND),
+            route=route.name,
+            account=passage.account_name,
+            service=passage.service,
+            returning=passage.returning,
+            plan=self._catalog.plan.number,
+            attempts=",".join(passage.trace),
+            **facts,
+        )
+
     async def _send(
         self,
         status: int,
--- /dev/null
+++ b/kingcupvane/tests/test_logs.py
@@ -0,0 +1,71 @@
+"""Tests of logs that are flooded while nobody reads them."""
+
+import os
+import threading
+
+from kingcupvane.process.logs import (
+    NOTABLE_BURST,
+    ROUTINE_BURST,
+    LogBuffer,
+)
+
+FLOOD = 50_000
+
+
+def test_flood_without_a_reader_blocks_nothing_and_is_counted(clock):
+    """The pipe is full after 64 kB; `put` must go on all the same."""
+    reader, writer = os.pipe()
+    buffer = LogBuffer(
+        clock=clock, write=lambda data: os.write(writer, data), lines_max=100
+    )
+    buffer.start()
+    for number in range(FLOOD):
+        buffer.put("x" * 200, routine=number % 2 == 0)
+        clock.advance(0.001)
+    assert buffer.left_out > 0
+    os.set_blocking(reader, True)
+    received = []
+    done = threading.Event()
+
+    def read():
+        while not done.is_set():
+            received.append(os.read(reader, 1 << 20))
+
+    thread = threading.Thread(target=read, daemon=True)
+    thread.start()
+    while True:
+        lines = b"".join(received).decode().splitlines()
+        told = [line for line in lines if "left-out" in line]
+        counts = sum(int(line.rpartition("=")[2]) for line in told)
+        written = len(lines) - len(told)
+        if written + counts == FLOOD:
+            break
+    done.set()
+    assert counts == buffer.left_out
+
+
+def test_notable_lines_push_routine_ones_out(clock):
+    lines = []
+    buffer = LogBuffer(clock=clock, write=lines.append, lines_max=10)
+    for number in range(10):
+        buffer.put(f"routine {number}", routine=True)
+    for number in range(10):
+        buffer.put(f"notable {number}", routine=False)
+    buffer.start()
+    while not lines:
+        pass
+    text = b"".join(lines).decode()
+    assert text.count("notable") == 10
+    assert "routine" not in text
+    assert "count=10" in text
+
+
+def test_routine_lines_have_a_smaller_rate(clock):
+    buffer = LogBuffer(clock=clock, write=len, lines_max=FLOOD)
+    for _ in range(5000):
+        buffer.put("routine", routine=True)
+    assert buffer.left_out == 5000 - ROUTINE_BURST
+    before = buffer.left_out
+    for _ in range(5000):
+        buffer.put("notable", routine=False)
+    assert buffer.left_out - before == 5000 - NOTABLE_BURST
--- a/kingcupvane/tests/test_steering.py
+++ b/kingcupvane/tests/test_steering.py
@@ -18,6 +18,7 @@
     TargetNews,
 )
 from kingcupvane.process.evidence import EvidenceCounter
+from kingcupvane.process.metrics import GatewayMetrics
 from kingcupvane.process.rollout import RolloutRegister
 from kingcupvane.request.passage import WireNames
 from kingcupvane.request.placement import Place
@@ -119,6 +120,8 @@
         self.clock = clock
         self.pool = pool
         self.suspicions = []
+        self.lines = []
+        self.metrics = GatewayMetrics()
         self.catalog = Catalog(
             name="g",
             place=Place(data_centre="north-a", region="north"),
@@ -138,6 +141,7 @@
             selector=selector,
             crashes=self.crashes,
             evidence=EvidenceCounter(),
+            metrics=self.metrics,
             names=NAMES,
             clock=clock,
             tell=timeline.record,
@@ -154,9 +158,10 @@
                     settings=RetrySettings(share=0.2, burst=10)
                 )
             ),
+            metrics=self.metrics,
             names=NAMES,
             clock=clock,
-            tell=timeline.record,
+            tell=self.tell,
         )
         for name in ("t0", "t1", "t2"):
             self.register(target(name))
@@ -165,6 +170,9 @@
         self.plan = plan(*routes, accounts=accounts)
         self.catalog.apply(PlanNews(plan=self.plan))
 
+    def tell(self, kind, *, routine=False, **fields):
+        self.lines.append((kind, routine, fields))
+
     def register(self, registered):
         self.catalog.apply(TargetNews(name=registered.name, target=registered))
 
@@ -407,3 +415,30 @@
     assert gateway.ask(body=b"poison")[0] == 503
     assert len(gateway.pool.sent) == sent
     assert gateway.ask(body=b"harmless")[0] == 200
+
+
+def test_one_line_tells_what_decided_a_request(make):
+    gateway = make(SHED, answer(), accounts=(account(),))
+    gateway.ask(authorization="Token secret", body=b"private")
+    ((kind, routine, fields),) = gateway.lines
+    assert (kind, routine) == ("request", True)
+    assert fields["request"] == "id-1"
+    assert fields["outcome"] == "answered"
+    assert fields["plan"] == 1
+    first, second = fields["attempts"].split(",")
+    assert "shed" in first
+    assert "answered" in second
+    assert "secret" not in str(fields)
+    assert "private" not in str(fields)
+
+
+def test_refusal_tells_its_reason_and_is_counted(make):
+    gateway = make(*[SHED] * 9)
+    gateway.ask()
+    ((_, routine, fields),) = gateway.lines
+    assert not routine
+    assert fields["outcome"] == "no-room"
+    assert fields["executed"] == "no"
+    text = gateway.metrics.text().decode()
+    assert 'kingcupvane_refusals_total{reason="no-room"} 1' in text
+    assert 'ending="shed"' in text
