--- /dev/null
+++ b/kingcupvane/tests/test_rollout.py
@@ -0,0 +1,121 @@
+"""Tests of rollouts: shares, evidence and their end by the deadline."""
+
+import random
+
+import pytest
+
+from kingcupvane.process.rollout import (
+    NEW,
+    RolloutCase,
+    RolloutCases,
+    RolloutRegister,
+    move_name,
+    shares_of,
+)
+from kingcupvane.version.judge import Judge, Tally
+from kingcupvane.version.move import MoveState, Phase
+from kingcupvane.version.plan import (
+    RolloutOrder,
+    RolloutOutcome,
+    RolloutState,
+)
+
+ORDER = RolloutOrder(service="s", version="v2", duration_s=15.0, revision=9)
+PERIOD_S = 0.25
+RATE = 250
+EXPOSURE = 0.1
+
+
+def play(*, failing=0.0, slower=1.0, begins_at=0.0, seed=1):
+    """Replays a rollout; returns its end, its time and the new one's part."""
+    chance = random.Random(seed)
+    case = RolloutCase(
+        order=ORDER,
+        judge=Judge(service="s", old="old", new="new"),
+        seen_at=0.0,
+    )
+    register = RolloutRegister()
+    counters = {
+        version: Tally(service="s", version=version, route="/r/")
+        for version in ("v1", "v2")
+    }
+    now = 0.0
+    exposed = total = 0
+    while now < 20.0:
+        now += PERIOD_S
+        state = register.states_by_name.get(move_name(ORDER))
+        shares = shares_of(ORDER, None, state)
+        for _ in range(int(RATE * PERIOD_S)):
+            new = chance.random() < shares[NEW].share
+            bad = new and now >= begins_at
+            total += now < ORDER.duration_s
+            exposed += new and now < ORDER.duration_s
+            counters["v2" if new else "v1"].add(
+                failed=bad and chance.random() < failing,
+                latency_s=0.1
+                * chance.lognormvariate(0, 0.2)
+                * (slower if bad else 1.0),
+            )
+        case.add({("g", v): tally for v, tally in counters.items()})
+        decided = case.decide(state, exposure=EXPOSURE, now=now)
+        if decided is not None:
+            register.hear(decided)
+            if decided.phase is not Phase.RUNNING:
+                return decided.phase, now, exposed / total
+    return None, now, exposed / total
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_good_version_is_done_before_its_deadline(seed):
+    phase, at, _ = play(seed=seed)
+    assert phase is Phase.COMPLETED
+    assert at < ORDER.duration_s
+
+
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize(
+    "fault",
+    [
+        {"failing": 0.5},
+        {"failing": 0.4, "begins_at": 3.0},
+        {"slower": 8.0},
+        {"slower": 8.0, "begins_at": 8.0},
+    ],
+)
+def test_bad_version_is_taken_back_within_its_share(fault, seed):
+    phase, _, exposed = play(seed=seed, **fault)
+    assert phase is Phase.TAKEN_BACK
+    assert exposed <= EXPOSURE
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_version_that_fails_under_load_is_taken_back(seed):
+    phase, at, _ = play(failing=0.5, begins_at=12.5, seed=seed)
+    assert phase is Phase.TAKEN_BACK
+    assert at < ORDER.duration_s
+
+
+def test_end_in_the_store_goes_before_what_gateways_tell():
+    running = MoveState(Phase.COMPLETED, 9, move_name(ORDER), 1.0)
+    ended = RolloutOutcome(
+        service="s",
+        version="v2",
+        state=RolloutState.TAKEN_BACK,
+        revision=20,
+    )
+    assert shares_of(ORDER, ended, running)[NEW].share == 0.0
+    assert shares_of(ORDER, None, running)[NEW].share == 1.0
+    assert shares_of(None, ended, running) is None
+
+
+def test_new_order_opens_a_new_case():
+    cases = RolloutCases()
+    cases.follow({"s": ORDER}, 1.0)
+    first = cases.get("s")
+    cases.follow({"s": ORDER}, 2.0)
+    assert cases.get("s") is first
+    later = RolloutOrder(service="s", version="v3", duration_s=9.0, revision=30)
+    cases.follow({"s": later}, 3.0)
+    assert cases.get("s").order is later
+    cases.follow({}, 4.0)
+    assert not cases.values()
