Read the ends of callers' connections first after standing still

A watchdog notices that the process stood still; a request then waits 30 ms before it is sent. Also: what logs leave out is told once a second, not with every batch.

--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -38,6 +38,7 @@
 from kingcupvane.process.store import Store
 from kingcupvane.process.supervisor import supervise
 from kingcupvane.process.timeline import HybridClock, Timeline
+from kingcupvane.process.wakeup import WakeupWatch
 from kingcupvane.request.passage import Suspicion, WireNames
 from kingcupvane.request.placement import Place
 from kingcupvane.request.quota import QuotaDivision
@@ -233,6 +234,7 @@
         )
 
     def _make_steering(self) -> None:
+        self._wakeup = WakeupWatch(clock=self._clock)
         self._budgets = RetryBudgets(make=self._make_budget)
         selector = TargetSelector(
             catalog=self._catalog,
@@ -246,6 +248,7 @@
             crashes=self._crashes,
             evidence=self._evidence,
             metrics=self._metrics,
+            wakeup=self._wakeup,
             names=self._names,
             clock=self._clock,
             tell=self._timeline.record,
@@ -291,6 +294,7 @@
                 ("registration", self._registration.run),
                 ("report", self._reporter.run),
                 ("upkeep", self._upkeep),
+                ("wakeup", self._wakeup.run),
                 ("rollouts", self._rollout_task.run),
                 ("suspicions", self._check_suspicions),
                 ("peers", self._serve_peers),
--- a/kingcupvane/process/logs.py
+++ b/kingcupvane/process/logs.py
@@ -8,7 +8,7 @@
 import os
 import threading
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from loguru import logger
 
@@ -23,6 +23,8 @@
 ROUTINE_BURST = 200.0
 NOTABLE_RATE = 400.0
 NOTABLE_BURST = 2000.0
+# Least time between two lines on what was left out, in seconds.
+TELL_PERIOD_S = 1.0
 # Time that the end of the process waits for the last lines, in seconds.
 FLUSH_S = 0.2
 ROUTINE = "routine"
@@ -56,6 +58,7 @@
         self._routine: deque[str] = deque()
         self._changed = threading.Condition()
         self._told = 0
+        self._told_at = float("-inf")
         self.left_out = 0
         now = clock.now()
         self._buckets = {}
@@ -97,6 +100,16 @@
                 if left <= 0 or not self._changed.wait(left):
                     return
 
+    def _left_out_line(self) -> Iterator[str]:
+        """Yields the line that tells what was left out, now and then."""
+        now = self._clock.now()
+        count = self.left_out - self._told
+        if not count or now - self._told_at < TELL_PERIOD_S:
+            return
+        self._told = self.left_out
+        self._told_at = now
+        yield f"level=WARNING event=log-lines-left-out count={count}"
+
     def _run(self) -> None:
         while True:
             with self._changed:
@@ -105,12 +118,7 @@
                 lines = [*self._notable, *self._routine]
                 self._notable.clear()
                 self._routine.clear()
-                if self.left_out > self._told:
-                    count = self.left_out - self._told
-                    self._told = self.left_out
-                    lines.append(
-                        f"level=WARNING event=log-lines-left-out count={count}"
-                    )
+                lines.extend(self._left_out_line())
                 self._changed.notify_all()
             self._write("".join(f"{line}\n" for line in lines).encode())
 
--- /dev/null
+++ b/kingcupvane/process/wakeup.py
@@ -0,0 +1,50 @@
+"""Notices that the process stood still.
+
+After a suspension, requests and the ends of their connections lie ready
+together. Whoever acts on a request should first let the ends be read.
+"""
+
+import trio
+
+from kingcupvane.clock import Clock
+
+TICK_S = 0.1
+# Lateness of a tick from which the process counts as having stood still, in s.
+STILL_S = 0.3
+# Time for which care is needed after that, in seconds.
+CARE_S = 0.3
+
+
+class WakeupWatch:
+    """Knows whether the process has just gone on after standing still."""
+
+    def __init__(self, *, clock: Clock):
+        """Starts as if it ran all the while.
+
+        Args:
+            clock: Monotonic clock that counts suspension.
+        """
+        self._clock = clock
+        self._ticked_at = clock.now()
+        self._woke_at = float("-inf")
+
+    def tick(self) -> bool:
+        """Notes that the process runs; returns whether it stood still."""
+        now = self._clock.now()
+        stood_still = now - self._ticked_at > TICK_S + STILL_S
+        if stood_still:
+            self._woke_at = now
+        self._ticked_at = now
+        return stood_still
+
+    def has_just_woken(self) -> bool:
+        """Returns whether ends of connections may lie unread."""
+        now = self._clock.now()
+        late = now - self._ticked_at > TICK_S + STILL_S
+        return late or now - self._woke_at < CARE_S
+
+    async def run(self) -> None:
+        """Ticks until cancelled."""
+        while True:
+            self.tick()
+            await trio.sleep(TICK_S)
--- a/kingcupvane/request/sending.py
+++ b/kingcupvane/request/sending.py
@@ -17,6 +17,7 @@
 from kingcupvane.process.catalog import Catalog
 from kingcupvane.process.evidence import EvidenceCounter
 from kingcupvane.process.metrics import GatewayMetrics
+from kingcupvane.process.wakeup import WakeupWatch
 from kingcupvane.request.dispatch import Sample
 from kingcupvane.request.passage import (
     Attempt,
@@ -40,8 +41,9 @@
 DEADLINE_SLACK_S = 0.03
 # Time left below which no target is asked, in seconds.
 USEFUL_MIN_S = 0.02
-# Scheduler rounds that pass before a request is sent on.
-DEPARTURE_CHECKPOINTS = 2
+# Time in which the ends of callers' connections are read after the process
+# stood still, in seconds.
+DEPARTURE_S = 0.03
 SERVER_ERROR_MIN = 500
 # Latency that an exchange of just the expected time counts as, in seconds.
 EVIDENCE_UNIT_S = 0.1
@@ -59,6 +61,7 @@
         crashes: CrashRegistry,
         evidence: EvidenceCounter,
         metrics: GatewayMetrics,
+        wakeup: WakeupWatch,
         names: WireNames,
         clock: Clock,
         tell: Callable[..., None],
@@ -73,6 +76,7 @@
             crashes: Requests that crash targets.
             evidence: Counts what versions do.
             metrics: Counts exchanges.
+            wakeup: Knows whether the process stood still.
             names: Names on the wire.
             clock: Monotonic clock.
             tell: Takes a kind of event and its fields for the log.
@@ -85,6 +89,7 @@
         self._crashes = crashes
         self._evidence = evidence
         self._metrics = metrics
+        self._wakeup = wakeup
         self._names = names
         self._clock = clock
         self._tell = tell
@@ -197,7 +202,8 @@
             return Attempt(
                 ending=Ending.UNREACHABLE, not_run=True, detail=str(error)
             )
-        await _notice_departure()
+        if self._wakeup.has_just_woken():
+            await trio.sleep(DEPARTURE_S)
         left = passage.deadline - self._clock.now()
         if left < USEFUL_MIN_S:
             await self._pool.release(target.name, connection)
@@ -294,16 +300,6 @@
         )
 
 
-async def _notice_departure() -> None:
-    """Lets a closed connection of the caller be seen before work is sent on.
-
-    After a process was suspended, requests and the ends of their connections
-    are read in the same moment.
-    """
-    for _ in range(DEPARTURE_CHECKPOINTS):
-        await trio.lowlevel.checkpoint()
-
-
 def _trace(candidate: Candidate, attempt: Attempt, seconds: float) -> str:
     """Returns one word on an attempt, for the request's line."""
     known = "known" if candidate.known else "new"
--- a/kingcupvane/tests/test_logs.py
+++ b/kingcupvane/tests/test_logs.py
@@ -6,6 +6,7 @@
 from kingcupvane.process.logs import (
     NOTABLE_BURST,
     ROUTINE_BURST,
+    TELL_PERIOD_S,
     LogBuffer,
 )
 
@@ -34,14 +35,17 @@
     thread = threading.Thread(target=read, daemon=True)
     thread.start()
     while True:
+        clock.advance(TELL_PERIOD_S)
+        buffer.put("later", routine=False)
         lines = b"".join(received).decode().splitlines()
         told = [line for line in lines if "left-out" in line]
         counts = sum(int(line.rpartition("=")[2]) for line in told)
-        written = len(lines) - len(told)
+        written = sum(line.startswith("x") for line in lines)
         if written + counts == FLOOD:
             break
     done.set()
     assert counts == buffer.left_out
+    assert len(told) <= FLOOD * 0.001 / TELL_PERIOD_S
 
 
 def test_notable_lines_push_routine_ones_out(clock):
--- a/kingcupvane/tests/test_steering.py
+++ b/kingcupvane/tests/test_steering.py
@@ -20,6 +20,7 @@
 from kingcupvane.process.evidence import EvidenceCounter
 from kingcupvane.process.metrics import GatewayMetrics
 from kingcupvane.process.rollout import RolloutRegister
+from kingcupvane.process.wakeup import WakeupWatch
 from kingcupvane.request.passage import WireNames
 from kingcupvane.request.placement import Place
 from kingcupvane.request.quota import QuotaDivision
@@ -142,6 +143,7 @@
             crashes=self.crashes,
             evidence=EvidenceCounter(),
             metrics=self.metrics,
+            wakeup=WakeupWatch(clock=clock),
             names=NAMES,
             clock=clock,
             tell=timeline.record,
@@ -442,3 +444,11 @@
     text = gateway.metrics.text().decode()
     assert 'kingcupvane_refusals_total{reason="no-room"} 1' in text
     assert 'ending="shed"' in text
+
+
+def test_after_standing_still_the_callers_end_is_read_first(make):
+    """A request that is read late, just before the end of its connection."""
+    gateway = make(answer())
+    gateway.clock.advance(1.5)
+    assert gateway.ask(gone=True) is None
+    assert gateway.pool.sent == []
