Reset the connection of a request that is given up

They lay in a network partition; a plain close lets them through when it heals, a reset drops them. Ruled out: the gateway standing still (the wake-up watch was in force). Test: a given-up connection is seen as reset; with a plain close it saw an ordinary end.

--- a/kingcupvane/connection/exchange.py
+++ b/kingcupvane/connection/exchange.py
@@ -6,8 +6,10 @@
 whenever anything but one whole answer came over it.
 """
 
+import contextlib
 import select
 import socket
+import struct
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
@@ -28,6 +30,8 @@
 IDLE_SHARE = 0.6
 # Idle time up to which a connection carries requests that must not repeat.
 FRESH_IDLE_S = 0.7
+# Linger switched on, for no time: the kernel resets instead of closing.
+LINGER_NONE = struct.pack("ii", 1, 0)
 
 
 class ConnectFailedError(Exception):
@@ -307,6 +311,17 @@
                 del self._idle_by_target[target]
 
 
+async def abort(stream: trio.SocketStream) -> None:
+    """Resets a connection, so that bytes on their way are dropped.
+
+    After a plain close, a network partition would still deliver a request when
+    it heals, long after its caller has left.
+    """
+    with contextlib.suppress(OSError):
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+    await trio.aclose_forcefully(stream)
+
+
 async def connect(address: str) -> trio.SocketStream:
     """Opens a connection.
 
--- a/kingcupvane/request/sending.py
+++ b/kingcupvane/request/sending.py
@@ -12,6 +12,7 @@
     ExchangeBrokenError,
     WireAnswer,
     WireRequest,
+    abort,
     end_to_end,
 )
 from kingcupvane.process.catalog import Catalog
@@ -231,7 +232,7 @@
             return Attempt(ending=Ending.BROKEN, detail=str(error))
         finally:
             if not whole:
-                await trio.aclose_forcefully(connection.stream)
+                await abort(connection.stream)
         if answer is None:
             return Attempt(ending=Ending.TIMEOUT, detail="no answer in time")
         if not whole:
--- a/kingcupvane/tests/test_exchange.py
+++ b/kingcupvane/tests/test_exchange.py
@@ -13,6 +13,7 @@
     ConnectionPool,
     ExchangeBrokenError,
     WireRequest,
+    abort,
     end_to_end,
 )
 
@@ -221,3 +222,26 @@
         (b"x-kept", b"2"),
     ]
     assert end_to_end(headers) == [(b"x-kept", b"2")]
+
+
+def test_aborted_connection_is_reset_and_not_just_closed(clock):
+    """A partition that heals must not deliver what nobody waits for."""
+    seen = []
+
+    async def handle(stream):
+        await read_request(stream)
+        try:
+            seen.append(await stream.receive_some(1))
+        except trio.BrokenResourceError:
+            seen.append("reset")
+
+    async def use(pool, script):
+        connection = await pool.acquire("t", script.address, fresh=False)
+        with trio.move_on_after(0.05):
+            await connection.exchange(request())
+        await abort(connection.stream)
+        while not seen:
+            await trio.sleep(0.01)
+        assert seen == ["reset"]
+
+    play(clock, handle, use)
--- a/kingcupvane/tests/test_steering.py
+++ b/kingcupvane/tests/test_steering.py
@@ -65,6 +65,9 @@
 class FakeStream:
     """A stream that is only ever closed."""
 
+    def setsockopt(self, *option):
+        """Sets nothing."""
+
     async def aclose(self):
         """Closes nothing."""
 
