Remove what nothing uses; wait after standing still before taking a connection

A caller that left during that wait cancelled it while the request already held a connection, which was then neither closed nor given back. Removed: apply_all and OPERATOR_PREFIX.

--- a/kingcupvane/platform/registry.py
+++ b/kingcupvane/platform/registry.py
@@ -35,7 +35,6 @@
 CONFIGURATION_KEY = "op/config"
 ROLLOUT_PREFIX = "op/rollout/"
 EVACUATION_PREFIX = "op/evacuate/"
-OPERATOR_PREFIX = "op/"
 TARGET_PREFIX = "servers/"
 OUTCOME_PREFIX = "status/rollout/"
 GATEWAY_PREFIX = "gateways/"
--- a/kingcupvane/process/catalog.py
+++ b/kingcupvane/process/catalog.py
@@ -4,7 +4,7 @@
 follows from them. A plan is never replaced by an older one.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from kingcupvane.clock import Clock
@@ -358,9 +358,3 @@
         by_service.pop(service, None)
     else:
         by_service[service] = value
-
-
-def apply_all(catalog: Catalog, news: Iterable[News]) -> None:
-    """Takes in several pieces of news in their order."""
-    for piece in news:
-        catalog.apply(piece)
--- a/kingcupvane/request/sending.py
+++ b/kingcupvane/request/sending.py
@@ -194,6 +194,8 @@
 
     async def _exchange(self, passage: Passage, view: TargetView) -> Attempt:
         target = view.target
+        if self._wakeup.has_just_woken():
+            await trio.sleep(DEPARTURE_S)
         started = self._clock.now()
         try:
             connection = await self._pool.acquire(
@@ -203,8 +205,6 @@
             return Attempt(
                 ending=Ending.UNREACHABLE, not_run=True, detail=str(error)
             )
-        if self._wakeup.has_just_woken():
-            await trio.sleep(DEPARTURE_S)
         left = passage.deadline - self._clock.now()
         if left < USEFUL_MIN_S:
             await self._pool.release(target.name, connection)
