--- a/kingcupvane/connection/messages.py
+++ b/kingcupvane/connection/messages.py
@@ -122,6 +122,36 @@
     tallies: list[Tally]
 
 
+class GatherRequest(
+    msgspec.Struct, frozen=True, tag="gather-request", kw_only=True
+):
+    """Asks a gateway for the counters of all gateways of its data centre."""
+
+    services: list[str]
+
+
+class SourceEvidence(msgspec.Struct, frozen=True, array_like=True):
+    """Counters of one gateway since its start.
+
+    Attributes:
+        name: Its name.
+        incarnation: Start time of its process, in Unix milliseconds.
+        tallies: One for each service, version and route.
+    """
+
+    name: str
+    incarnation: int
+    tallies: list[Tally]
+
+
+class GatherReply(
+    msgspec.Struct, frozen=True, tag="gather-reply", kw_only=True
+):
+    """Counters of the gateways of one data centre that answered."""
+
+    sources: list[SourceEvidence]
+
+
 class StatusRequest(
     msgspec.Struct, frozen=True, tag="status-request", kw_only=True
 ):
@@ -193,6 +223,7 @@
         data_centre: Its data centre.
         caller_address: Address for requests of callers.
         peer_address: Address for other gateways.
+        link_mbps: Bandwidth of its VM's link, in Mbit/s.
     """
 
     name: str
@@ -201,6 +232,7 @@
     data_centre: str
     caller_address: str
     peer_address: str
+    link_mbps: float = 0.0
 
 
 class RolloutProgress(msgspec.Struct, frozen=True, array_like=True):
@@ -228,6 +260,53 @@
     LOST = "lost"
 
 
+class MemberStatus(msgspec.Struct, frozen=True, array_like=True):
+    """A live gateway in the summary of its data centre.
+
+    Attributes:
+        name: Its name.
+        incarnation: Start time of its process, in Unix milliseconds.
+        caller_address: Address for requests of callers.
+        peer_address: Address for other gateways.
+        link_mbps: Bandwidth of its VM's link, in Mbit/s.
+        ready: Whether callers may be sent to it.
+        feed: Where its copy of the store comes from.
+    """
+
+    name: str
+    incarnation: int
+    caller_address: str
+    peer_address: str
+    link_mbps: float
+    ready: bool
+    feed: Feed
+
+
+class DataCentreSummary(msgspec.Struct, frozen=True, array_like=True):
+    """What one gateway tells other data centres of its own.
+
+    Attributes:
+        data_centre: The data centre.
+        region: Its region.
+        source: Name of the gateway that summed it up.
+        incarnation: Start time of that gateway, in Unix milliseconds.
+        stamp: When it did; a later summary replaces an earlier one.
+        members: The live gateways.
+        use: What callers there ask for and get, by client account; requests
+            are counted since the source has started.
+        demand: Requests a second that callers there send, by service.
+    """
+
+    data_centre: str
+    region: str
+    source: str
+    incarnation: int
+    stamp: Stamp
+    members: list[MemberStatus]
+    use: dict[str, AccountUse]
+    demand: dict[str, float]
+
+
 class GatewayReport(
     msgspec.Struct, frozen=True, tag="gateway-report", kw_only=True
 ):
@@ -238,12 +317,16 @@
         ready: Whether callers may be sent to it.
         as_of: Store revision of its copy of the store.
         feed: Where its copy of the store comes from.
-        use: What its callers ask for and get, by client account.
+        use: What its callers ask for and get, by client account; only told
+            within the data centre, like `demand`.
         demand: Requests a second that its callers send, by service.
         crashes: Requests in whose presence targets died.
         states: What is decided about rollouts.
         rollouts: How long rollouts run.
-        known: Other gateways that it has heard of lately.
+        known: Gateways of its data centre that it has heard of lately.
+        summaries: Data centres that the receiver is to hear of from here.
+        alone: The sender knows nobody of its data centre yet, and asks for
+            the summaries of all.
     """
 
     record: GatewayRecord
@@ -256,6 +339,8 @@
     states: list[MoveState] = []
     rollouts: list[RolloutProgress] = []
     known: list[GatewayRecord] = []
+    summaries: list[DataCentreSummary] = []
+    alone: bool = False
 
 
 class MirrorRequest(
@@ -293,6 +378,8 @@
     | LoanReply
     | EvidenceRequest
     | EvidenceReply
+    | GatherRequest
+    | GatherReply
     | StatusRequest
     | StatusReply
     | TimelineRequest
--- /dev/null
+++ b/kingcupvane/process/collection.py
@@ -0,0 +1,102 @@
+"""Collects the counters of versions from all gateways."""
+
+from collections.abc import Sequence
+
+import trio
+from result import Ok
+
+from kingcupvane.clock import Clock
+from kingcupvane.connection.messages import (
+    EvidenceReply,
+    EvidenceRequest,
+    GatherReply,
+    GatherRequest,
+    SourceEvidence,
+)
+from kingcupvane.connection.peer import PeerClient
+from kingcupvane.process.evidence import EvidenceCounter
+from kingcupvane.process.peering import PeerTable
+
+# Time in which the gateways of the own data centre have to answer, in seconds;
+# shorter than a question to another data centre may take.
+NEAR_TIMEOUT_S = 0.4
+
+
+class EvidenceCollector:
+    """Asks near gateways directly, and others through their hubs."""
+
+    def __init__(
+        self,
+        *,
+        evidence: EvidenceCounter,
+        peers: PeerTable,
+        client: PeerClient,
+        clock: Clock,
+    ):
+        """Makes a collector.
+
+        Args:
+            evidence: This gateway's own counters.
+            peers: The known gateways.
+            client: Reads the counters of peers.
+            clock: Monotonic clock.
+        """
+        self._evidence = evidence
+        self._peers = peers
+        self._client = client
+        self._clock = clock
+
+    def own(self, services: Sequence[str]) -> EvidenceReply:
+        """Returns the counters of this gateway."""
+        return EvidenceReply(
+            incarnation=self._peers.own.incarnation,
+            tallies=self._evidence.of_services(services),
+        )
+
+    async def near(self, services: Sequence[str]) -> list[SourceEvidence]:
+        """Returns the counters of the own data centre."""
+        found = [_source(self._peers.own.name, self.own(services))]
+
+        async def ask(name: str, address: str) -> None:
+            reply = await self._client.ask(
+                address, EvidenceRequest(services=list(services))
+            )
+            if isinstance(reply, Ok) and isinstance(
+                reply.ok_value, EvidenceReply
+            ):
+                found.append(_source(name, reply.ok_value))
+
+        with trio.move_on_after(NEAR_TIMEOUT_S):
+            async with trio.open_nursery() as nursery:
+                for peer in self._peers.near(self._clock.now()):
+                    record = peer.record
+                    nursery.start_soon(ask, record.name, record.peer_address)
+        return found
+
+    async def everywhere(self, services: Sequence[str]) -> list[SourceEvidence]:
+        """Returns the counters of all data centres that answer."""
+        found: list[SourceEvidence] = []
+
+        async def ask_near() -> None:
+            found.extend(await self.near(services))
+
+        async def gather(address: str) -> None:
+            reply = await self._client.ask(
+                address, GatherRequest(services=list(services))
+            )
+            if isinstance(reply, Ok) and isinstance(
+                reply.ok_value, GatherReply
+            ):
+                found.extend(reply.ok_value.sources)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask_near)
+            for address in self._peers.source_addresses(self._clock.now()):
+                nursery.start_soon(gather, address)
+        return found
+
+
+def _source(name: str, reply: EvidenceReply) -> SourceEvidence:
+    return SourceEvidence(
+        name=name, incarnation=reply.incarnation, tallies=reply.tallies
+    )
--- a/kingcupvane/process/feed.py
+++ b/kingcupvane/process/feed.py
@@ -1,8 +1,8 @@
 """Keeps a gateway's copy of the store fed, by the store or by peers.
 
-A few gateways watch the store; the others copy from whoever is ahead, so that
-the calls to the store do not grow with the fleet. A watcher that loses the
-store says so and the next one takes its turn.
+One gateway of each data centre watches the store; the others copy from whoever
+is ahead, so that the calls to the store do not grow with the fleet. A watcher
+that loses the store says so and the next one takes its turn.
 """
 
 from collections.abc import Callable
@@ -25,8 +25,8 @@
 from kingcupvane.process.timeline import Timeline
 from kingcupvane.settings import PlatformStoreSettings
 
-# Gateways that watch the store.
-WATCHERS = 3
+# Gateways of a data centre that watch the store.
+WATCHERS = 1
 # Time between two looks at whose turn it is to watch, in seconds.
 TURN_PERIOD_S = 0.2
 # Pause after changes, so that those that come together cost one call, in s.
--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -2,7 +2,6 @@
 
 import signal
 from collections.abc import Callable
-from functools import partial
 from typing import Protocol
 
 import hypercorn.config
@@ -25,13 +24,14 @@
 from kingcupvane.connection.peer import PeerClient, PeerServer
 from kingcupvane.errors import UsageError
 from kingcupvane.process.catalog import Catalog, GatewayNews, News
+from kingcupvane.process.collection import EvidenceCollector
 from kingcupvane.process.evidence import EvidenceCounter
 from kingcupvane.process.feed import LEASE_CONTACTS, Registration, StoreFeed
 from kingcupvane.process.item import Item
 from kingcupvane.process.logs import LogBuffer, RequestLog
 from kingcupvane.process.metrics import GatewayMetrics
 from kingcupvane.process.mirror import Mirror
-from kingcupvane.process.peering import PeerTable
+from kingcupvane.process.peering import PeerTable, entrance_names
 from kingcupvane.process.reporting import Reporter
 from kingcupvane.process.rollout import RolloutCases, RolloutRegister
 from kingcupvane.process.rollout_task import OutcomeWriter, RolloutTask
@@ -136,6 +136,7 @@
             data_centre=settings.data_centre,
             caller_address=settings.caller_address,
             peer_address=f"{settings.ip}:{settings.peer_port}",
+            link_mbps=settings.link_mbps,
         )
         self._peers = PeerTable(own=own)
         self._mirror = Mirror(prefix="")
@@ -155,7 +156,7 @@
         self._rollouts = RolloutRegister()
         self._evidence = EvidenceCounter()
         self._cases = RolloutCases()
-        self._live_names: list[str] = [settings.name]
+        self._entrances: list[str] = [settings.name]
 
     def _make_connections(self) -> None:
         settings = self._settings
@@ -190,6 +191,12 @@
     ) -> None:
         settings = self._settings
         port = settings.peer_port
+        collector = EvidenceCollector(
+            evidence=self._evidence,
+            peers=self._peers,
+            client=self._peer_client,
+            clock=self._clock,
+        )
         self._reporter = Reporter(
             peers=self._peers,
             client=self._peer_client,
@@ -201,18 +208,18 @@
             crashes=self._crashes,
             rollouts=self._rollouts,
             cases=self._cases,
-            evidence=self._evidence,
+            collector=collector,
             is_ready=self._is_ready,
             clock=self._clock,
+            stamps=self._hybrid,
             timeline=self._timeline,
         )
         self._rollout_task = RolloutTask(
             cases=self._cases,
             rollouts=self._rollouts,
             catalog=self._catalog,
-            evidence=self._evidence,
+            collector=collector,
             peers=self._peers,
-            client=self._peer_client,
             store=self._store,
             mirror=self._mirror,
             encode=encode_outcome,
@@ -239,7 +246,7 @@
         selector = TargetSelector(
             catalog=self._catalog,
             rollouts=self._rollouts,
-            gateways=lambda: self._live_names,
+            gateways=lambda: self._entrances,
         )
         sender = TargetSender(
             catalog=self._catalog,
@@ -270,7 +277,7 @@
     def _make_budget(self) -> RetryBudget:
         """Returns this gateway's part of the fleet's retry budget."""
         settings = self._settings
-        gateways = max(GATEWAYS_GUESS, len(self._live_names))
+        gateways = max(GATEWAYS_GUESS, len(self._entrances))
         extra = settings.retry_extra / gateways
         return RetryBudget(
             settings=RetrySettings(
@@ -328,6 +335,8 @@
                 self._take_gateway(news, now)
             elif news is not None:
                 self._catalog.apply(news)
+        if items and self._feed.feed is Feed.STORE:
+            self._reporter.tell_news()
 
     def _take_gateway(self, news: GatewayNews, now: float) -> None:
         if not news.value:
@@ -354,9 +363,11 @@
         swept_at = 0.0
         while True:
             now = self._clock.now()
-            self._live_names = self._peers.live_names(now)
+            self._entrances = entrance_names(
+                self._peers, ready=self._is_ready(), now=now
+            )
             for name in self._peers.forget(now):
-                self._quota.drop(name)
+                self._reporter.forget(name)
                 self._timeline.record("gateway-forgotten", name=name)
             if not self._is_store_watched(now):
                 self._catalog.store_unseen()
@@ -380,7 +391,7 @@
         metrics.active.set({}, self._steering.active)
         metrics.plan_number.set({}, self._catalog.plan.number)
         metrics.plan_age.set({}, round(now - self._feed.confirmed_at, 3))
-        metrics.gateways.set({}, len(self._live_names))
+        metrics.gateways.set({}, len(self._peers.live_names(now)))
         metrics.connections_opened.set({}, self._pool.opened)
         for operation, count in self._store.calls.items():
             metrics.store_calls.set({"operation": operation}, count)
@@ -403,9 +414,11 @@
                 sums[service] = sums.get(service, 0.0) + rate
 
         add(self._settings.region, self._catalog.demand())
-        for peer in self._peers.live(now):
+        for peer in self._peers.near(now):
             if peer.report is not None:
                 add(peer.record.region, peer.report.demand)
+        for heard in self._peers.summaries(now):
+            add(heard.summary.region, heard.summary.demand)
         return total
 
     def _is_store_watched(self, now: float) -> bool:
@@ -413,8 +426,7 @@
         if self._feed.feed is Feed.STORE:
             return True
         return any(
-            peer.report is not None and peer.report.feed is Feed.STORE
-            for peer in self._peers.live(now)
+            member.feed is Feed.STORE for member in self._peers.members(now)
         )
 
     async def _check_suspicions(self) -> None:
@@ -469,11 +481,7 @@
         self._steering.leaving = True
         self._timeline.record("leaving", active=self._steering.active)
         end = started + self._settings.stop_grace_s - STOP_MARGIN_S
-        async with trio.open_nursery() as nursery:
-            for peer in self._peers.live(started):
-                nursery.start_soon(
-                    partial(self._reporter.talk, peer.record.peer_address)
-                )
+        self._reporter.report_all()
         accept_until = min(end, started + STOP_ACCEPT_S)
         while self._clock.now() < end:
             if self._clock.now() >= accept_until:
--- a/kingcupvane/process/peering.py
+++ b/kingcupvane/process/peering.py
@@ -1,24 +1,46 @@
 """Gateways that know each other through reports, without a leader.
 
-Each gateway reports to every peer in short periods; the answer is the peer's
-report. Peers are found through seeds, through the store and through what
-other peers know. A gateway is live while its reports come.
+Within a data centre each gateway reports to every other one in short periods;
+the answer is the peer's report. Between data centres only their hubs talk:
+the hub is the live gateway with the widest link, so everybody in the data
+centre names the same one without an election. Hubs exchange summaries, and
+pass on to their data centre what they hear. What a gateway has to send thus
+grows with its data centre and the number of data centres, not with the fleet.
+
+Peers are found through seeds, through the store and through what other peers
+know. A gateway is live while its reports, or summaries that name it, come.
 """
 
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
 from kingcupvane.connection.messages import (
+    DataCentreSummary,
     Feed,
     GatewayRecord,
     GatewayReport,
+    MemberStatus,
 )
 from kingcupvane.request.routing import rank
 
 # Silence after which a peer gets no callers any more, in seconds.
 LIVE_S = 1.5
+# Silence after which the gateways of another data centre get none, in seconds;
+# longer, since its hub may have to be replaced first.
+SUMMARY_LIVE_S = 3.0
+# Age of a summary after which another gateway's is taken instead, and after
+# which the first gateways of a data centre ask for one themselves, in seconds.
+SUMMARY_STALE_S = 1.0
+# Gateways of a data centre that do so.
+STANDBYS = 3
 # Silence after which a peer is no longer asked or passed on, in seconds.
 MEMORY_S = 30.0
+# Part of the widest link in a data centre from which callers are sent there.
+STRONG_LINK_SHARE = 0.5
+# Strong gateways below which callers are sent to all.
+STRONG_MIN = 2
+# Gateways that one look-up answer names at most.
+ENTRIES_MAX = 64
 
 
 @dataclass(kw_only=True, slots=True)
@@ -30,18 +52,50 @@
         report: Its last report; None before the first.
         heard_at: Monotonic time of that report, in seconds.
         known_at: Monotonic time at which anybody last named it, in seconds.
+        is_unanswered: The last question to it got no answer.
     """
 
     record: GatewayRecord
     report: GatewayReport | None = None
     heard_at: float = float("-inf")
     known_at: float = float("-inf")
+    is_unanswered: bool = False
 
     def is_live(self, now: float) -> bool:
         """Returns whether its reports still come."""
         return now - self.heard_at < LIVE_S
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HeardSummary:
+    """The latest summary of another data centre.
+
+    Attributes:
+        summary: The summary.
+        heard_at: Monotonic time at which it came, in seconds.
+        is_first_hand: It came from a gateway of that data centre.
+    """
+
+    summary: DataCentreSummary
+    heard_at: float
+    is_first_hand: bool
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Member:
+    """A live gateway anywhere.
+
+    Attributes:
+        record: How it presented itself.
+        ready: Whether callers may be sent to it.
+        feed: Where its copy of the store comes from.
+    """
+
+    record: GatewayRecord
+    ready: bool
+    feed: Feed
+
+
 class PeerTable:
     """The other gateways, as one of them sees them; does no I/O."""
 
@@ -49,10 +103,7 @@
         """Starts knowing only itself."""
         self.own = own
         self._peers_by_name: dict[str, Peer] = {}
-
-    def peers(self) -> Iterator[Peer]:
-        """Yields all known peers."""
-        return iter(self._peers_by_name.values())
+        self._heard_by_data_centre: dict[str, HeardSummary] = {}
 
     def hear(self, report: GatewayReport, now: float) -> bool:
         """Takes in a report; returns whether its sender was not live before."""
@@ -65,10 +116,42 @@
         fresh = not peer.is_live(now)
         peer.report = report
         peer.heard_at = now
+        peer.is_unanswered = False
         for record in report.known:
             self.learn(record, now)
         return fresh
 
+    def hear_summary(
+        self, summary: DataCentreSummary, now: float, *, teller: GatewayRecord
+    ) -> bool:
+        """Takes in a summary; returns whether it is newer than the last.
+
+        Counters of two sources cannot be compared, so that another source is
+        heard only when the last one has been silent for a while.
+
+        Args:
+            summary: The summary.
+            now: Monotonic seconds.
+            teller: Who passed it on.
+        """
+        for member in summary.members:
+            self.learn(_record_of(summary, member), now)
+        if summary.data_centre == self.own.data_centre:
+            return False
+        last = self._heard_by_data_centre.get(summary.data_centre)
+        if last is not None:
+            if summary.stamp <= last.summary.stamp:
+                return False
+            same = summary.source == last.summary.source
+            if not same and now - last.heard_at < SUMMARY_STALE_S:
+                return False
+        self._heard_by_data_centre[summary.data_centre] = HeardSummary(
+            summary=summary,
+            heard_at=now,
+            is_first_hand=teller.data_centre == summary.data_centre,
+        )
+        return True
+
     def learn(self, record: GatewayRecord, now: float) -> None:
         """Takes in that somebody knows a gateway."""
         if record.name != self.own.name:
@@ -85,6 +168,31 @@
         peer.known_at = now
         return peer
 
+    def note_unanswered(self, address: str) -> None:
+        """Takes in that a peer did not answer a question.
+
+        Once nobody of a data centre has answered, all get another chance.
+        """
+        silent = self._by_address(address)
+        if silent is None:
+            return
+        silent.is_unanswered = True
+        data_centre = silent.record.data_centre
+        peers = [
+            peer
+            for peer in self._peers_by_name.values()
+            if peer.record.data_centre == data_centre
+        ]
+        if all(peer.is_unanswered for peer in peers):
+            for peer in peers:
+                peer.is_unanswered = peer is silent
+
+    def _by_address(self, address: str) -> Peer | None:
+        for peer in self._peers_by_name.values():
+            if peer.record.peer_address == address:
+                return peer
+        return None
+
     def forget(self, now: float) -> list[str]:
         """Drops peers of which nobody has heard for long; returns their names.
 
@@ -98,27 +206,200 @@
                 dropped.append(name)
         return dropped
 
-    def live(self, now: float) -> list[Peer]:
-        """Returns the peers whose reports come."""
-        return [p for p in self._peers_by_name.values() if p.is_live(now)]
+    def near(self, now: float) -> list[Peer]:
+        """Returns the live peers of the own data centre."""
+        return [
+            peer
+            for peer in self._peers_by_name.values()
+            if peer.record.data_centre == self.own.data_centre
+            and peer.is_live(now)
+        ]
+
+    def summaries(self, now: float) -> list[HeardSummary]:
+        """Returns what is known of the other data centres that are live."""
+        return [
+            heard
+            for heard in self._heard_by_data_centre.values()
+            if now - heard.heard_at < SUMMARY_LIVE_S
+        ]
+
+    def summary_age_s(self, data_centre: str, now: float) -> float:
+        """Returns how old the news of a data centre are, in seconds."""
+        heard = self._heard_by_data_centre.get(data_centre)
+        return float("inf") if heard is None else now - heard.heard_at
+
+    def source_addresses(self, now: float) -> list[str]:
+        """Returns the gateways that sum up the other data centres."""
+        return [
+            status.peer_address
+            for heard in self.summaries(now)
+            for status in heard.summary.members
+            if status.name == heard.summary.source
+        ]
+
+    def members(self, now: float) -> Iterator[Member]:
+        """Yields the live gateways but this one, of all data centres."""
+        for peer in self.near(now):
+            if peer.report is not None:
+                yield Member(
+                    record=peer.record,
+                    ready=peer.report.ready,
+                    feed=peer.report.feed,
+                )
+        for heard in self.summaries(now):
+            for status in heard.summary.members:
+                yield Member(
+                    record=_record_of(heard.summary, status),
+                    ready=status.ready,
+                    feed=status.feed,
+                )
 
     def live_names(self, now: float) -> list[str]:
         """Returns the names of all live gateways, this one too, sorted."""
-        names = [peer.record.name for peer in self.live(now)]
+        names = [member.record.name for member in self.members(now)]
         return sorted([self.own.name, *names])
 
-    def addresses(self, seeds: Iterable[str], now: float) -> list[str]:
-        """Returns where to send reports, each address once."""
-        found = {
-            peer.record.peer_address for peer in self._peers_by_name.values()
+    def hubs(self, now: float) -> list[str]:
+        """Returns the live gateways of the own data centre, the hub first."""
+        records = [
+            peer.record for peer in self.near(now) if not peer.is_unanswered
+        ]
+        return [record.name for record in by_width([self.own, *records])]
+
+    def is_alone(self, now: float) -> bool:
+        """Returns whether nobody is heard."""
+        return not self.near(now) and not self.summaries(now)
+
+    def near_addresses(self, now: float, *, everybody: bool) -> list[str]:
+        """Returns which gateways of the own data centre to report to.
+
+        One question serves both sides; the one with the lower name asks, and
+        the other one too as long as it hears nothing.
+
+        Args:
+            now: Monotonic seconds.
+            everybody: Whether there are news that cannot wait to be asked for.
+        """
+        return sorted(
+            peer.record.peer_address
+            for peer in self._peers_by_name.values()
+            if peer.record.data_centre == self.own.data_centre
+            and (
+                everybody
+                or self.own.name < peer.record.name
+                or not peer.is_live(now)
+            )
+        )
+
+    def far_addresses(self, now: float) -> list[str]:
+        """Returns which gateways of other data centres to report to.
+
+        Between two hubs the one with the lower data centre asks, and the
+        other one too when it hears nothing. Then the first gateways after the
+        hub try as well, since the hub may be cut off.
+        """
+        try:
+            turn = self.hubs(now).index(self.own.name)
+        except ValueError:
+            return []
+        if turn >= STANDBYS:
+            return []
+        return [
+            addresses[0]
+            for name, addresses in sorted(self._far_candidates().items())
+            if self.summary_age_s(name, now) > SUMMARY_STALE_S
+            or (turn == 0 and self.own.data_centre < name)
+        ]
+
+    def _far_candidates(self) -> dict[str, list[str]]:
+        """Returns addresses by other data centre, its likely hub first."""
+        records_by_data_centre: dict[str, list[GatewayRecord]] = {}
+        unanswered = set()
+        for peer in self._peers_by_name.values():
+            record = peer.record
+            if record.data_centre != self.own.data_centre:
+                records_by_data_centre.setdefault(
+                    record.data_centre, []
+                ).append(record)
+            if peer.is_unanswered:
+                unanswered.add(record.name)
+        return {
+            name: [
+                record.peer_address
+                for record in sorted(
+                    by_width(records), key=lambda r: r.name in unanswered
+                )
+            ]
+            for name, records in records_by_data_centre.items()
         }
-        found.update(seeds)
-        found.discard(self.own.peer_address)
-        return sorted(found)
 
     def records(self, now: float) -> list[GatewayRecord]:
-        """Returns the gateways that are live, to pass on."""
-        return [peer.record for peer in self.live(now)]
+        """Returns the live gateways of the data centre, to pass on."""
+        return [peer.record for peer in self.near(now)]
+
+
+def _record_of(
+    summary: DataCentreSummary, member: MemberStatus
+) -> GatewayRecord:
+    return GatewayRecord(
+        name=member.name,
+        incarnation=member.incarnation,
+        region=summary.region,
+        data_centre=summary.data_centre,
+        caller_address=member.caller_address,
+        peer_address=member.peer_address,
+        link_mbps=member.link_mbps,
+    )
+
+
+def by_width(records: Iterable[GatewayRecord]) -> list[GatewayRecord]:
+    """Returns gateways with the widest links first, in a fixed order."""
+    by_name = {record.name: record for record in records}
+    order = rank(by_name, subject="hub")
+    return sorted(
+        (by_name[name] for name in order), key=lambda record: -record.link_mbps
+    )
+
+
+def entrances(records: Iterable[GatewayRecord]) -> list[GatewayRecord]:
+    """Returns the gateways of one data centre to which callers are sent.
+
+    Those with narrow links are left out while at least two others are ready:
+    a large request would hold up all others on such a link.
+    """
+    ordered = by_width(records)
+    if not ordered:
+        return []
+    width = STRONG_LINK_SHARE * ordered[0].link_mbps
+    strong = [record for record in ordered if record.link_mbps >= width]
+    return strong if len(strong) >= STRONG_MIN else ordered
+
+
+def entrance_names(table: PeerTable, *, ready: bool, now: float) -> list[str]:
+    """Returns the gateways to which callers of any data centre are sent.
+
+    Args:
+        table: The known gateways.
+        ready: Whether this gateway itself takes callers.
+        now: Monotonic seconds.
+    """
+    records_by_data_centre: dict[str, list[GatewayRecord]] = {}
+    for record in _ready_records(table, ready=ready, now=now):
+        records_by_data_centre.setdefault(record.data_centre, []).append(record)
+    return sorted(
+        record.name
+        for records in records_by_data_centre.values()
+        for record in entrances(records)
+    )
+
+
+def _ready_records(
+    table: PeerTable, *, ready: bool, now: float
+) -> list[GatewayRecord]:
+    records = [m.record for m in table.members(now) if m.ready]
+    if ready:
+        records.append(table.own)
+    return records
 
 
 def entries_for(
@@ -133,26 +414,19 @@
         ready: Whether this gateway itself takes callers.
         now: Monotonic seconds.
     """
-    records = [
-        peer.record
-        for peer in table.live(now)
-        if peer.report is not None and peer.report.ready
-    ]
-    if ready:
-        records.append(table.own)
+    records = _ready_records(table, ready=ready, now=now)
     near = [r for r in records if r.data_centre == data_centre]
     same_region = [r for r in records if r.region == region]
-    chosen = near or same_region or records
+    chosen = entrances(near or same_region or records)[:ENTRIES_MAX]
     return sorted(record.caller_address for record in chosen)
 
 
 def watchers(
     table: PeerTable, *, own_feed: Feed, count: int, now: float
 ) -> list[str]:
-    """Returns which gateways watch the store; the others copy from them.
+    """Returns who watches the store in the own data centre; the others copy.
 
-    They are spread over regions first, so that a region that is cut off from
-    the others still has one. A gateway that lost the store passes its turn on.
+    A gateway that lost the store passes its turn on.
 
     Args:
         table: The known gateways.
@@ -160,20 +434,12 @@
         count: How many watch.
         now: Monotonic seconds.
     """
-    able = []
-    if own_feed is not Feed.LOST:
-        able.append(table.own)
-    for peer in table.live(now):
-        if peer.report is not None and peer.report.feed is not Feed.LOST:
-            able.append(peer.record)
-    chosen = rank((record.name for record in able), subject="watch")
-    region_by_name = {record.name: record.region for record in able}
-    taken: dict[str, int] = {}
-
-    def turn(name: str) -> int:
-        region = region_by_name[name]
-        taken[region] = taken.get(region, 0) + 1
-        return taken[region]
-
-    turns = [(turn(name), index, name) for index, name in enumerate(chosen)]
-    return [name for _, _, name in sorted(turns)[:count]]
+    lost = {
+        peer.record.name
+        for peer in table.near(now)
+        if peer.report is not None and peer.report.feed is Feed.LOST
+    }
+    if own_feed is Feed.LOST:
+        lost.add(table.own.name)
+    able = [name for name in table.hubs(now) if name not in lost]
+    return able[:count]
--- a/kingcupvane/process/reporting.py
+++ b/kingcupvane/process/reporting.py
@@ -1,15 +1,21 @@
 """Exchanges reports between gateways."""
 
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from functools import partial
 
+import msgspec
 import trio
-from result import Ok
+from result import Err, Ok
 
 from kingcupvane.clock import Clock
 from kingcupvane.connection.messages import (
-    EvidenceReply,
+    DataCentreSummary,
     EvidenceRequest,
+    GatewayRecord,
     GatewayReport,
+    GatherReply,
+    GatherRequest,
     Message,
     MirrorReply,
     MirrorRequest,
@@ -17,17 +23,44 @@
 )
 from kingcupvane.connection.peer import PeerClient
 from kingcupvane.process.catalog import Catalog
-from kingcupvane.process.evidence import EvidenceCounter
+from kingcupvane.process.collection import EvidenceCollector
 from kingcupvane.process.feed import StoreFeed
 from kingcupvane.process.mirror import Mirror
 from kingcupvane.process.peering import PeerTable
 from kingcupvane.process.rollout import RolloutCases, RolloutRegister
-from kingcupvane.process.timeline import Timeline
+from kingcupvane.process.summary import UseTotals, summarize
+from kingcupvane.process.timeline import HybridClock, Timeline
 from kingcupvane.request.quota import QuotaDivision
 from kingcupvane.request.retry import CrashRegistry
 from kingcupvane.version.move import MoveState
 
-REPORT_PERIOD_S = 0.4
+# Period of the reports within a data centre, in seconds.
+REPORT_PERIOD_S = 0.2
+# Reports of which one goes to other data centres as well: their bytes are
+# scarce.
+REPORTS_PER_FAR = 2
+# Least time between two reports of changes, in seconds.
+NEWS_PERIOD_S = 0.05
+# Name under which the use of a whole data centre is known.
+DATA_CENTRE_PEER = "data-centre/{}"
+# Silence after which another data centre is taken to use its whole part of an
+# account's limit, in seconds: two periods and the way.
+DATA_CENTRE_SILENT_S = 1.0
+
+
+@dataclass(kw_only=True, slots=True)
+class Ahead:
+    """The peer whose copy of the store is known to be the newest.
+
+    Attributes:
+        as_of: Store revision of its copy.
+        address: Its address.
+        is_set: Set when that is news.
+    """
+
+    as_of: int = 0
+    address: str = ""
+    is_set: trio.Event = field(default_factory=trio.Event)
 
 
 class Reporter:
@@ -46,9 +79,10 @@
         crashes: CrashRegistry,
         rollouts: RolloutRegister,
         cases: RolloutCases,
-        evidence: EvidenceCounter,
+        collector: EvidenceCollector,
         is_ready: Callable[[], bool],
         clock: Clock,
+        stamps: HybridClock,
         timeline: Timeline,
     ):
         """Makes the task's state.
@@ -64,9 +98,10 @@
             crashes: Requests that crash targets.
             rollouts: What was decided on rollouts.
             cases: Rollouts that run.
-            evidence: Counters of versions.
+            collector: Counters of versions.
             is_ready: Returns whether callers may be sent here.
             clock: Monotonic clock.
+            stamps: Orders the summaries.
             timeline: Gets what peers change here.
         """
         self._peers = peers
@@ -79,36 +114,68 @@
         self._crashes = crashes
         self._rollouts = rollouts
         self._cases = cases
-        self._evidence = evidence
+        self._collector = collector
         self._is_ready = is_ready
         self._clock = clock
+        self._stamps = stamps
         self._timeline = timeline
+        self._totals = UseTotals()
+        self._news = trio.Event()
+        self._ahead = Ahead()
+        self._asked: set[str] = set()
+        self._talks: trio.Nursery | None = None
 
     async def answer(self, message: Message) -> Message | None:
         """Returns the answer to a peer's message, None for no answer."""
         match message:
             case GatewayReport():
                 self._hear(message)
-                return self.own_report()
+                return self._report_to(message.record, alone=message.alone)
             case MirrorRequest():
                 return self._feed.changes_since(message)
             case EvidenceRequest(services=services):
-                return EvidenceReply(
-                    incarnation=self._peers.own.incarnation,
-                    tallies=self._evidence.of_services(services),
-                )
+                return self._collector.own(services)
+            case GatherRequest(services=services):
+                return GatherReply(sources=await self._collector.near(services))
         return None
 
-    def own_report(self) -> GatewayReport:
-        """Returns what this gateway tells its peers."""
+    def forget(self, name: str) -> None:
+        """Drops a gateway that has left for good."""
+        self._quota.drop(name)
+        self._totals.forget(name)
+
+    def tell_news(self) -> None:
+        """Has the data centre told at once what this gateway learned."""
+        self._news.set()
+
+    def _report_to(
+        self, receiver: GatewayRecord, *, alone: bool
+    ) -> GatewayReport:
+        """Returns a report with the summaries that concern its receiver.
+
+        Args:
+            receiver: Who gets it.
+            alone: Whether the receiver knows nobody else.
+        """
+        own = self._peers.own
+        near = receiver.data_centre == own.data_centre
+        report = self._own_report(near=near)
+        summaries = []
+        if alone or near:
+            summaries = self._heard_summaries(first_hand=not alone)
+        if alone or not near:
+            summaries.append(self._own_summary())
+        return msgspec.structs.replace(report, summaries=summaries)
+
+    def _own_report(self, *, near: bool) -> GatewayReport:
         now = self._clock.now()
         return GatewayReport(
             record=self._peers.own,
             ready=self._is_ready(),
             as_of=self._mirror.as_of,
             feed=self._feed.feed,
-            use=self._quota.use(now),
-            demand=self._catalog.demand(),
+            use=self._quota.use(now) if near else {},
+            demand=self._catalog.demand() if near else {},
             crashes=self._crashes.shared(),
             states=list(self._rollouts.states_by_name.values()),
             rollouts=[
@@ -117,31 +184,76 @@
                 )
                 for case in self._cases.values()
             ],
-            known=self._peers.records(now),
+            known=self._peers.records(now) if near else [],
+            alone=self._peers.is_alone(now),
         )
 
+    def _heard_summaries(self, *, first_hand: bool) -> list[DataCentreSummary]:
+        """Returns the summaries of other data centres.
+
+        Args:
+            first_hand: Leave out those that others pass on themselves.
+        """
+        return [
+            heard.summary
+            for heard in self._peers.summaries(self._clock.now())
+            if heard.is_first_hand or not first_hand
+        ]
+
+    def _own_summary(self) -> DataCentreSummary:
+        now = self._clock.now()
+        own = self._own_report(near=True)
+        self._totals.hear(own.record.name, own.record.incarnation, own.use)
+        near = [p.report for p in self._peers.near(now) if p.report is not None]
+        return summarize([own, *near], self._totals, stamp=self._stamps.tick())
+
     def _hear(self, report: GatewayReport) -> None:
         now = self._clock.now()
-        if self._peers.hear(report, now):
-            self._timeline.record("gateway-live", name=report.record.name)
-        if report.record.name == self._peers.own.name:
+        sender = report.record
+        if sender.name == self._peers.own.name:
             return
-        self._quota.hear(
-            report.record.name,
-            report.use,
-            incarnation=report.record.incarnation,
-            now=now,
-        )
+        if self._peers.hear(report, now):
+            self._timeline.record("gateway-live", name=sender.name)
+        if sender.data_centre == self._peers.own.data_centre:
+            self._quota.hear(
+                sender.name,
+                report.use,
+                source=sender.name,
+                incarnation=sender.incarnation,
+                now=now,
+            )
+            self._totals.hear(sender.name, sender.incarnation, report.use)
+        for summary in report.summaries:
+            self._hear_summary(summary, sender)
         for print_ in self._crashes.hear(report.crashes, now):
             self._timeline.record(
                 "request-refused-for-crashes",
                 fingerprint=print_,
-                source=report.record.name,
+                source=sender.name,
             )
         for state in report.states:
-            self.take_state(state, source=report.record.name)
+            self.take_state(state, source=sender.name)
         for progress in report.rollouts:
             self._hear_progress(progress, now)
+        if report.as_of > max(self._mirror.as_of, self._ahead.as_of):
+            self._ahead.as_of = report.as_of
+            self._ahead.address = sender.peer_address
+            self._ahead.is_set.set()
+
+    def _hear_summary(
+        self, summary: DataCentreSummary, teller: GatewayRecord
+    ) -> None:
+        now = self._clock.now()
+        if not self._peers.hear_summary(summary, now, teller=teller):
+            return
+        self._quota.hear(
+            DATA_CENTRE_PEER.format(summary.data_centre),
+            summary.use,
+            source=summary.source,
+            incarnation=summary.incarnation,
+            now=now,
+            silent_s=DATA_CENTRE_SILENT_S,
+        )
 
     def _hear_progress(self, progress: RolloutProgress, now: float) -> None:
         case = self._cases.get(progress.service)
@@ -162,29 +274,79 @@
 
     async def run(self) -> None:
         """Reports until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._talks = nursery
+            nursery.start_soon(self._copy_newest)
+            nursery.start_soon(self._spread_news)
+            turn = 0
+            while True:
+                self._report_near(everybody=False)
+                if turn % REPORTS_PER_FAR == 0:
+                    self._report_far()
+                turn += 1
+                await trio.sleep(REPORT_PERIOD_S)
+
+    def report_all(self) -> None:
+        """Reports at once to everybody that this gateway reports to."""
+        self._report_near(everybody=True)
+        self._report_far()
+
+    def _report_near(self, *, everybody: bool) -> None:
+        now = self._clock.now()
+        for address in self._peers.near_addresses(now, everybody=everybody):
+            self._start_talk(address, near=True)
+
+    def _report_far(self) -> None:
+        now = self._clock.now()
+        for address in self._peers.far_addresses(now):
+            self._start_talk(address, near=False)
+        if self._peers.is_alone(now):
+            for address in self._seeds:
+                self._start_talk(address, near=False)
+
+    async def _spread_news(self) -> None:
+        """Tells the data centre of changes without waiting for its turn."""
         while True:
-            started = trio.current_time()
-            now = self._clock.now()
-            async with trio.open_nursery() as nursery:
-                for address in self._peers.addresses(self._seeds, now):
-                    nursery.start_soon(self.talk, address)
-            await trio.sleep_until(started + REPORT_PERIOD_S)
-
-    async def talk(self, address: str) -> None:
-        """Exchanges reports with one peer."""
-        reply = await self._client.ask(address, self.own_report())
-        if not isinstance(reply, Ok):
-            return
-        report = reply.ok_value
-        if not isinstance(report, GatewayReport):
+            await self._news.wait()
+            self._news = trio.Event()
+            self._report_near(everybody=True)
+            await trio.sleep(NEWS_PERIOD_S)
+
+    def _start_talk(self, address: str, *, near: bool) -> None:
+        """Exchanges reports with a peer, unless it still owes an answer."""
+        if address == self._peers.own.peer_address or address in self._asked:
             return
-        self._hear(report)
-        if report.as_of > self._mirror.as_of:
-            await self._pull(address)
+        if self._talks is not None:
+            self._asked.add(address)
+            self._talks.start_soon(partial(self._talk, address, near=near))
 
-    async def _pull(self, address: str) -> None:
+    async def _talk(self, address: str, *, near: bool) -> None:
+        report = self._own_report(near=near)
+        if near:
+            summaries = self._heard_summaries(first_hand=True)
+        else:
+            summaries = [self._own_summary()]
+        try:
+            reply = await self._client.ask(
+                address, msgspec.structs.replace(report, summaries=summaries)
+            )
+        finally:
+            self._asked.discard(address)
+        if isinstance(reply, Err):
+            self._peers.note_unanswered(address)
+        elif isinstance(reply.ok_value, GatewayReport):
+            self._hear(reply.ok_value)
+
+    async def _copy_newest(self) -> None:
         """Takes in what a peer's copy of the store has and ours has not."""
-        request = MirrorRequest(after=self._mirror.as_of)
-        reply = await self._client.ask(address, request)
-        if isinstance(reply, Ok) and isinstance(reply.ok_value, MirrorReply):
-            self._feed.take_changes(reply.ok_value)
+        while True:
+            await self._ahead.is_set.wait()
+            ahead, self._ahead = self._ahead, Ahead()
+            if ahead.as_of <= self._mirror.as_of:
+                continue
+            request = MirrorRequest(after=self._mirror.as_of)
+            reply = await self._client.ask(ahead.address, request)
+            if isinstance(reply, Ok) and isinstance(
+                reply.ok_value, MirrorReply
+            ):
+                self._feed.take_changes(reply.ok_value)
--- a/kingcupvane/process/rollout_task.py
+++ b/kingcupvane/process/rollout_task.py
@@ -7,10 +7,8 @@
 from result import Err, Ok
 
 from kingcupvane.clock import Clock
-from kingcupvane.connection.messages import EvidenceReply, EvidenceRequest
-from kingcupvane.connection.peer import PeerClient
 from kingcupvane.process.catalog import Catalog
-from kingcupvane.process.evidence import EvidenceCounter
+from kingcupvane.process.collection import EvidenceCollector
 from kingcupvane.process.item import ABSENT, Item
 from kingcupvane.process.mirror import Mirror
 from kingcupvane.process.peering import PeerTable
@@ -46,9 +44,8 @@
         cases: RolloutCases,
         rollouts: RolloutRegister,
         catalog: Catalog,
-        evidence: EvidenceCounter,
+        collector: EvidenceCollector,
         peers: PeerTable,
-        client: PeerClient,
         store: Store,
         mirror: Mirror,
         encode: OutcomeWriter,
@@ -65,9 +62,8 @@
             cases: Rollouts that run.
             rollouts: What was decided on them.
             catalog: Orders and their outcomes.
-            evidence: This gateway's own counters.
+            collector: Reads the counters of all gateways.
             peers: The known gateways.
-            client: Reads the counters of peers.
             store: Gets the outcomes.
             mirror: The copy of the store.
             encode: Writes an outcome.
@@ -81,9 +77,8 @@
         self._cases = cases
         self._rollouts = rollouts
         self._catalog = catalog
-        self._evidence = evidence
+        self._collector = collector
         self._peers = peers
-        self._client = client
         self._store = store
         self._mirror = mirror
         self._encode_outcome = encode
@@ -137,41 +132,17 @@
     async def _read_counters(
         self, service: str
     ) -> dict[tuple[str, ...], Tally]:
-        own = self._peers.own
-        tallies: dict[tuple[str, ...], Tally] = {}
-
-        def take(name: str, reply: EvidenceReply) -> None:
-            for tally in reply.tallies:
-                key = (
-                    name,
-                    str(reply.incarnation),
-                    tally.version,
-                    tally.route,
-                )
-                tallies[key] = tally
-
-        async def read(name: str, address: str) -> None:
-            reply = await self._client.ask(
-                address, EvidenceRequest(services=[service])
-            )
-            if isinstance(reply, Ok) and isinstance(
-                reply.ok_value, EvidenceReply
-            ):
-                take(name, reply.ok_value)
-
-        take(
-            own.name,
-            EvidenceReply(
-                incarnation=own.incarnation,
-                tallies=self._evidence.of_services([service]),
-            ),
-        )
-        async with trio.open_nursery() as nursery:
-            for peer in self._peers.live(self._clock.now()):
-                nursery.start_soon(
-                    read, peer.record.name, peer.record.peer_address
-                )
-        return tallies
+        sources = await self._collector.everywhere([service])
+        return {
+            (
+                source.name,
+                str(source.incarnation),
+                tally.version,
+                tally.route,
+            ): tally
+            for source in sources
+            for tally in source.tallies
+        }
 
     async def _write_outcome(
         self, order: RolloutOrder, state: MoveState
--- /dev/null
+++ b/kingcupvane/process/summary.py
@@ -0,0 +1,122 @@
+"""Sums up a data centre for the others."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from kingcupvane.connection.messages import (
+    DataCentreSummary,
+    Feed,
+    GatewayReport,
+    MemberStatus,
+    Stamp,
+)
+from kingcupvane.request.quota import AccountUse
+
+
+@dataclass(kw_only=True, slots=True)
+class _Source:
+    """What one gateway last told of its accounts."""
+
+    incarnation: int
+    use_by_account: Mapping[str, AccountUse]
+
+
+@dataclass(kw_only=True, slots=True)
+class UseTotals:
+    """Requests that the gateways of a data centre admitted, by account.
+
+    Each gateway counts since its own start; the total goes on when one of
+    them restarts or leaves.
+    """
+
+    _admitted_by_account: dict[str, int] = field(default_factory=dict)
+    _sources_by_name: dict[str, _Source] = field(default_factory=dict)
+
+    def hear(
+        self, name: str, incarnation: int, use: Mapping[str, AccountUse]
+    ) -> None:
+        """Takes in what a gateway counted since its start.
+
+        What it had admitted before it was heard for the first time is left
+        out: nobody can tell how long ago that was.
+        """
+        last = self._sources_by_name.get(name)
+        self._sources_by_name[name] = _Source(
+            incarnation=incarnation, use_by_account=use
+        )
+        if last is None:
+            return
+        same = last.incarnation == incarnation
+        for account, told in use.items():
+            known = last.use_by_account.get(account) if same else None
+            added = told.admitted - (known.admitted if known else 0)
+            if added > 0:
+                total = self._admitted_by_account.get(account, 0)
+                self._admitted_by_account[account] = total + added
+
+    def forget(self, name: str) -> None:
+        """Drops a gateway that has left; what it admitted stays counted."""
+        self._sources_by_name.pop(name, None)
+
+    def use(
+        self, demands: Iterable[Mapping[str, AccountUse]]
+    ) -> dict[str, AccountUse]:
+        """Returns the use of all accounts together.
+
+        Args:
+            demands: What each live gateway told last.
+        """
+        demand_by_account: dict[str, float] = {}
+        for use in demands:
+            for account, told in use.items():
+                before = demand_by_account.get(account, 0.0)
+                demand_by_account[account] = before + told.demand
+        accounts = {*demand_by_account, *self._admitted_by_account}
+        return {
+            account: AccountUse(
+                round(demand_by_account.get(account, 0.0), 1),
+                self._admitted_by_account.get(account, 0),
+            )
+            for account in sorted(accounts)
+        }
+
+
+def summarize(
+    reports: Iterable[GatewayReport], totals: UseTotals, *, stamp: Stamp
+) -> DataCentreSummary:
+    """Returns the summary of a data centre.
+
+    Args:
+        reports: What its live gateways tell, the summing one first.
+        totals: Their use of accounts.
+        stamp: The present hybrid time.
+    """
+    reports = list(reports)
+    own = reports[0].record
+    demand: dict[str, float] = {}
+    for report in reports:
+        for service, rate in report.demand.items():
+            demand[service] = round(demand.get(service, 0.0) + rate, 1)
+    return DataCentreSummary(
+        data_centre=own.data_centre,
+        region=own.region,
+        source=own.name,
+        incarnation=own.incarnation,
+        stamp=stamp,
+        members=[_status(report) for report in reports],
+        use=totals.use(report.use for report in reports),
+        demand=demand,
+    )
+
+
+def _status(report: GatewayReport) -> MemberStatus:
+    record = report.record
+    return MemberStatus(
+        name=record.name,
+        incarnation=record.incarnation,
+        caller_address=record.caller_address,
+        peer_address=record.peer_address,
+        link_mbps=record.link_mbps,
+        ready=report.ready,
+        feed=Feed(report.feed),
+    )
--- a/kingcupvane/request/quota.py
+++ b/kingcupvane/request/quota.py
@@ -34,7 +34,8 @@
 SETTLE_SHARE = 0.1
 # Wait that a refused request of a crowded account is told, in seconds.
 CROWDED_S = 1.0
-# Part of its rate that a gateway uses while the bucket is in debt.
+# Part of its rate that a gateway uses while the bucket is in debt, or may be
+# by what silent peers took.
 DEBT_RATE = 0.8
 # Part of the burst below which gateways keep to their own part of the rate.
 RESERVE_SHARE = 0.25
@@ -43,6 +44,9 @@
 ALLOWANCE_MIN = 2.0
 # Requests below which the reserve does not fall.
 RESERVE_MIN = 2.0
+# Part of its share that a gateway leaves unused while all peers are silent:
+# the two sides of a partition noted their parts at different times.
+PARTED_MARGIN = 0.2
 # Largest debt of a bucket, in seconds of its rate.
 DEBT_S = 2.0
 
@@ -92,14 +96,16 @@
 @dataclass(kw_only=True, slots=True)
 class _Peer:
     heard_at: float
+    source: str
     incarnation: int
+    silent_s: float
     use_by_account: Mapping[str, AccountUse] = field(default_factory=dict)
     part_by_account: dict[str, float] = field(default_factory=dict)
     is_noted: bool = False
 
     def is_silent(self, now: float) -> bool:
         """Returns whether its reports have stopped."""
-        return now - self.heard_at > SILENT_S
+        return now - self.heard_at > self.silent_s
 
     def demand(self, plan: AccountPlan) -> float:
         """Returns its demand with the floor, in requests a second."""
@@ -157,14 +163,34 @@
         peer: str,
         use: Mapping[str, AccountUse],
         *,
+        source: str,
         incarnation: int,
         now: float,
+        silent_s: float = SILENT_S,
     ) -> None:
-        """Takes in what a peer's callers ask for and what it admitted."""
+        """Takes in what a peer's callers ask for and what it admitted.
+
+        Args:
+            peer: A gateway, or a whole data centre.
+            use: What it tells.
+            source: Gateway that has counted; counters of two of them cannot
+                be compared.
+            incarnation: Start of that gateway, at which its counters began.
+            now: Monotonic seconds.
+            silent_s: Silence after which the peer is taken to use its whole
+                part, in seconds.
+        """
         before = self._peers_by_name.get(peer)
+        if before is not None and before.source != source:
+            self._change_source(
+                peer, use, source=source, incarnation=incarnation, now=now
+            )
+            return
         self._peers_by_name[peer] = _Peer(
             heard_at=now,
+            source=source,
             incarnation=incarnation,
+            silent_s=silent_s,
             use_by_account=use,
             part_by_account=before.part_by_account if before else {},
         )
@@ -181,6 +207,31 @@
                 base = told.admitted
             self._settle(account, peer, max(0, told.admitted - base), since_s)
 
+    def _change_source(
+        self,
+        name: str,
+        use: Mapping[str, AccountUse],
+        *,
+        source: str,
+        incarnation: int,
+        now: float,
+    ) -> None:
+        """Goes on with another gateway's counters.
+
+        What was assumed of the peer meanwhile stands, since no figure replaces
+        it.
+        """
+        peer = self._peers_by_name[name]
+        peer.heard_at = now
+        peer.source = source
+        peer.incarnation = incarnation
+        peer.use_by_account = use
+        peer.is_noted = False
+        for account in self._accounts_by_name.values():
+            known = account.uses_by_peer.get(name)
+            if known is not None:
+                known.assumed = 0.0
+
     def _settle(
         self,
         account: _Account,
@@ -275,9 +326,22 @@
                 del self._accounts_by_name[name]
 
     def share(self, plan: AccountPlan, now: float) -> float:
-        """Returns this gateway's part of an account's limit, 0 to 1."""
-        share = self._own_demand(plan, now) / self._heard_demand(plan, now)
-        share *= 1.0 - self._silent_part(plan, now)
+        """Returns this gateway's part of an account's limit, 0 to 1.
+
+        The part of a peer is that of its last report: demand that grows here
+        takes from a peer only once news of it have come, since it may have
+        grown there too.
+        """
+        own = self._own_demand(plan, now)
+        kept = 0.0
+        asked = own
+        for peer in self._peers_by_name.values():
+            if peer.is_noted:
+                kept += peer.part_by_account.get(plan.name, 0.0)
+            else:
+                asked += peer.demand(plan)
+        share = max(0.0, 1.0 - kept) * own / asked
+        share *= 1.0 - PARTED_MARGIN * self._silent_part(plan, now)
         if now < self._settled_at:
             return min(SETTLE_SHARE, share)
         return share
@@ -336,10 +400,11 @@
         self._note_parts(account, plan, now)
         share = self.share(plan, now)
         reserve = max(RESERVE_MIN, RESERVE_SHARE * plan.burst)
-        account.reserve = reserve + self._silent_part(plan, now) * plan.burst
+        hidden = self._silent_part(plan, now) * plan.burst
+        account.reserve = reserve + hidden
         spare = account.tokens - account.reserve
         account.allowance = max(ALLOWANCE_MIN, share * spare)
-        pace = 1.0 if account.tokens >= 0.0 else DEBT_RATE
+        pace = 1.0 if account.tokens >= hidden else DEBT_RATE
         account.own.resize(
             rate=pace * share * plan.rate,
             size=max(1.0, share * RESERVE_SHARE * plan.burst),
--- a/kingcupvane/tests/test_gateway.py
+++ b/kingcupvane/tests/test_gateway.py
@@ -153,16 +153,16 @@
     return ports
 
 
-def settings(name, ports, seeds=()):
+def settings(name, ports, seeds=(), ip="127.0.0.1", data_centre="n-a"):
     caller, ready, lookup, peer, metrics = ports
     return GatewaySettings(
         name=name,
         region="n",
-        data_centre="n-a",
-        ip="127.0.0.1",
-        caller_address=f"127.0.0.1:{caller}",
-        readiness_address=f"127.0.0.1:{ready}",
-        lookup_address=f"127.0.0.1:{lookup}",
+        data_centre=data_centre,
+        ip=ip,
+        caller_address=f"{ip}:{caller}",
+        readiness_address=f"{ip}:{ready}",
+        lookup_address=f"{ip}:{lookup}",
         peer_port=peer,
         metrics_port=metrics,
         seeds=seeds,
@@ -189,6 +189,17 @@
         )
 
 
+def gateway(settings, store):
+    return GatewayDaemon(
+        settings=settings,
+        store=store,
+        registry=PlatformRegistry(regions={"n-a": "n", "n-b": "n"}),
+        names=NAMES,
+        encode_outcome=encode_outcome,
+        outcome_prefix=OUTCOME_PREFIX,
+    )
+
+
 class World:
     """A store, one target and one gateway."""
 
@@ -221,15 +232,7 @@
             await trio.sleep(0.02)
 
     async def _run_gateway(self):
-        daemon = GatewayDaemon(
-            settings=self.settings,
-            store=self.store,
-            registry=PlatformRegistry(regions={"n-a": "n"}),
-            names=NAMES,
-            encode_outcome=encode_outcome,
-            outcome_prefix=OUTCOME_PREFIX,
-        )
-        await daemon.run()
+        await gateway(self.settings, self.store).run()
         self.ended.set()
 
     def play(self, use):
@@ -359,3 +362,51 @@
         await world.ended.wait()
 
     world.play(use)
+
+
+def test_data_centre_without_the_store_follows_another(world):
+    """Gateways 2 and 3 never reach a store; 3 knows only the seed."""
+    ports = free_ports(5)
+    dead = EventStore()
+    dead.down = True
+    others = [
+        settings(
+            f"g{number}",
+            ports,
+            seeds=(f"127.0.0.{seed}:1",),
+            ip=f"127.0.0.{number}",
+            data_centre="n-b",
+        )
+        for number, seed in ((2, 1), (3, 2))
+    ]
+    world.settings = settings("g1", ports)
+
+    async def use(world):
+        async with trio.open_nursery() as nursery:
+            for other in others:
+                nursery.start_soon(gateway(other, dead).run)
+            world.store.put("op/config", config(1))
+            await world.until(world.is_ready)
+
+            async def all_named():
+                path = f"{NAMES.lookup_path}?name=h&region=n&zone=n-b"
+                answers = [
+                    await world.get(s.lookup_address, path)
+                    for s in (world.settings, *others)
+                ]
+                if any(answer.status != 200 for answer in answers):
+                    return False
+                named = [json.loads(a.content)["addresses"] for a in answers]
+                return all(
+                    n == [o.caller_address for o in others] for n in named
+                )
+
+            async def is_served():
+                world.settings = others[1]
+                return await world.ask() == (200, b"acme")
+
+            await world.until(all_named)
+            await world.until(is_served)
+            nursery.cancel_scope.cancel()
+
+    world.play(use)
--- a/kingcupvane/tests/test_peering.py
+++ b/kingcupvane/tests/test_peering.py
@@ -1,20 +1,29 @@
 """Tests of gateways that know each other through reports."""
 
 from kingcupvane.connection.messages import (
+    DataCentreSummary,
     Feed,
     GatewayRecord,
     GatewayReport,
+    MemberStatus,
+    Stamp,
 )
 from kingcupvane.process.peering import (
+    ENTRIES_MAX,
     LIVE_S,
     MEMORY_S,
+    SUMMARY_LIVE_S,
+    SUMMARY_STALE_S,
     PeerTable,
+    entrance_names,
     entries_for,
     watchers,
 )
 
 
-def record(name, region="north", data_centre="north-a", incarnation=1):
+def record(
+    name, region="north", data_centre="north-a", incarnation=1, link_mbps=10.0
+):
     return GatewayRecord(
         name=name,
         incarnation=incarnation,
@@ -22,6 +31,7 @@
         data_centre=data_centre,
         caller_address=f"{name}:80",
         peer_address=f"{name}:90",
+        link_mbps=link_mbps,
     )
 
 
@@ -31,6 +41,41 @@
     )
 
 
+def summary(
+    data_centre, *names, region="south", wall_ms=1, ready=True, link_mbps=10.0
+):
+    """Returns a summary by the first of the named gateways."""
+    return DataCentreSummary(
+        data_centre=data_centre,
+        region=region,
+        source=names[0],
+        incarnation=1,
+        stamp=Stamp(wall_ms),
+        members=[
+            MemberStatus(
+                name=name,
+                incarnation=1,
+                caller_address=f"{name}:80",
+                peer_address=f"{name}:90",
+                link_mbps=link_mbps,
+                ready=ready,
+                feed=Feed.PEERS,
+            )
+            for name in names
+        ],
+        use={},
+        demand={},
+    )
+
+
+def far_teller(told):
+    return record(told.source, told.region, told.data_centre)
+
+
+def hear_far(table, told, now):
+    return table.hear_summary(told, now, teller=far_teller(told))
+
+
 def names(table, now, **place):
     place = {"region": "north", "data_centre": "north-a", **place}
     return entries_for(table, ready=True, now=now, **place)
@@ -46,10 +91,19 @@
 def test_peer_of_a_peer_is_asked_but_not_named():
     table = PeerTable(own=record("a"))
     table.hear(report(record("b"), known=[record("c")]), 0.0)
-    assert table.addresses([], 0.0) == ["b:90", "c:90"]
+    addresses = table.near_addresses(0.0, everybody=False)
+    assert addresses == ["b:90", "c:90"]
     assert names(table, 0.0) == ["a:80", "b:80"]
 
 
+def test_one_of_two_near_gateways_asks_until_it_falls_silent():
+    table = PeerTable(own=record("b"))
+    table.hear(report(record("a")), 0.0)
+    assert table.near_addresses(0.1, everybody=False) == []
+    assert table.near_addresses(0.1, everybody=True) == ["a:90"]
+    assert table.near_addresses(LIVE_S + 0.1, everybody=False) == ["a:90"]
+
+
 def test_leaving_gateway_is_named_no_more():
     table = PeerTable(own=record("a"))
     table.hear(report(record("b")), 0.0)
@@ -59,8 +113,8 @@
 
 def test_callers_get_the_nearest_gateways_first():
     table = PeerTable(own=record("a"))
-    table.hear(report(record("b", data_centre="north-b")), 0.0)
-    table.hear(report(record("c", region="s", data_centre="s-a")), 0.0)
+    hear_far(table, summary("north-b", "b", region="north"), 0.0)
+    hear_far(table, summary("s-a", "c", region="s"), 0.0)
     assert names(table, 0.1) == ["a:80"]
     assert names(table, 0.1, data_centre="north-c") == ["a:80", "b:80"]
     assert names(table, 0.1, region="s", data_centre="s-b") == ["c:80"]
@@ -68,6 +122,31 @@
     assert nowhere == ["a:80", "b:80", "c:80"]
 
 
+def test_gateways_of_a_silent_data_centre_are_named_no_more():
+    table = PeerTable(own=record("a"))
+    hear_far(table, summary("s-a", "c", region="s"), 0.0)
+    late = SUMMARY_LIVE_S + 0.1
+    assert names(table, late, region="s", data_centre="s-a") == ["a:80"]
+
+
+def test_narrow_links_get_callers_only_when_wide_ones_are_missing():
+    table = PeerTable(own=record("a"))
+    wide = [record(name, link_mbps=200.0) for name in ("w1", "w2")]
+    for other in wide:
+        table.hear(report(other), 0.0)
+    assert names(table, 0.1) == ["w1:80", "w2:80"]
+    assert entrance_names(table, ready=True, now=0.1) == ["w1", "w2"]
+    table.hear(report(wide[0], ready=False), 0.2)
+    assert names(table, 0.3) == ["a:80", "w2:80"]
+
+
+def test_answers_name_a_bounded_number_of_gateways():
+    table = PeerTable(own=record("a"))
+    for number in range(2 * ENTRIES_MAX):
+        table.hear(report(record(f"g{number}")), 0.0)
+    assert len(names(table, 0.1)) == ENTRIES_MAX
+
+
 def test_earlier_start_of_a_peer_is_not_heard_again():
     table = PeerTable(own=record("a"))
     table.hear(report(record("b", incarnation=5)), 0.0)
@@ -79,28 +158,95 @@
     table = PeerTable(own=record("a"))
     table.hear(report(record("b")), 0.0)
     assert table.forget(MEMORY_S + 1) == ["b"]
-    assert table.addresses(["seed:90"], 0.0) == ["seed:90"]
+    assert table.near_addresses(MEMORY_S + 1, everybody=True) == []
+
+
+def test_all_of_a_data_centre_name_the_same_hub():
+    everyone = [record(f"g{n}", link_mbps=10.0 * (n % 3)) for n in range(9)]
+
+    def hub(own):
+        table = PeerTable(own=own)
+        for other in everyone:
+            table.hear(report(other), 0.0)
+        return table.hubs(0.1)[0]
+
+    assert len({hub(own) for own in everyone}) == 1
+    assert int(hub(everyone[0])[1:]) % 3 == 2
+
+
+def test_hub_that_does_not_answer_is_replaced_at_once():
+    table = PeerTable(own=record("a"))
+    table.hear(report(record("b", link_mbps=99.0)), 0.0)
+    assert table.hubs(0.1) == ["b", "a"]
+    table.note_unanswered("b:90")
+    assert table.hubs(0.2) == ["a"]
+    table.hear(report(record("b", link_mbps=99.0)), 0.3)
+    assert table.hubs(0.4) == ["b", "a"]
+
+
+def test_hubs_ask_each_other_once():
+    low = PeerTable(own=record("a", data_centre="d1"))
+    high = PeerTable(own=record("b", data_centre="d2"))
+    hear_far(low, summary("d2", "b"), 0.0)
+    hear_far(high, summary("d1", "a"), 0.0)
+    assert low.far_addresses(0.1) == ["b:90"]
+    assert high.far_addresses(0.1) == []
+    late = SUMMARY_STALE_S + 0.1
+    assert high.far_addresses(late) == ["a:90"]
+
+
+def test_next_gateways_ask_when_the_hub_hears_nothing():
+    table = PeerTable(own=record("a", data_centre="d1"))
+    wide = record("h", data_centre="d1", link_mbps=99.0)
+    hear_far(table, summary("d2", "b"), 0.0)
+    table.hear(report(wide), 0.0)
+    assert table.far_addresses(0.1) == []
+    table.hear(report(wide), SUMMARY_STALE_S)
+    assert table.far_addresses(SUMMARY_STALE_S + 0.1) == ["b:90"]
+
+
+def test_another_gateway_is_asked_when_a_far_one_does_not_answer():
+    table = PeerTable(own=record("a", data_centre="d1"))
+    hear_far(table, summary("d2", "b", "c"), 0.0)
+    first = table.far_addresses(0.1)
+    table.note_unanswered(first[0])
+    second = table.far_addresses(0.1)
+    assert sorted(first + second) == ["b:90", "c:90"]
+    table.note_unanswered(second[0])
+    assert table.far_addresses(0.1) == first
+
+
+def test_summaries_of_two_sources_do_not_alternate():
+    table = PeerTable(own=record("a"))
+    assert hear_far(table, summary("d2", "b", wall_ms=1), 0.0)
+    assert not hear_far(table, summary("d2", "b", wall_ms=1), 0.1)
+    assert not hear_far(table, summary("d2", "c", wall_ms=2), 0.2)
+    late = SUMMARY_STALE_S + 0.1
+    assert hear_far(table, summary("d2", "c", wall_ms=3), late)
+
+
+def test_summary_of_the_own_data_centre_only_introduces_gateways():
+    table = PeerTable(own=record("a"))
+    told = summary("north-a", "b")
+    assert not table.hear_summary(told, 0.0, teller=record("x"))
+    assert table.near_addresses(0.1, everybody=False) == ["b:90"]
+    assert table.live_names(0.1) == ["a"]
 
 
-def test_all_agree_on_who_watches_and_a_lost_one_passes_its_turn_on():
-    everyone = [
-        record(f"{region}{number}", region=region)
-        for region in "nsw"
-        for number in range(4)
-    ]
+def test_a_data_centre_agrees_on_who_watches_and_a_lost_one_passes_on():
+    everyone = [record(f"g{number}") for number in range(4)]
 
     def view(own, lost=()):
         table = PeerTable(own=own)
         for other in everyone:
             feed = Feed.LOST if other.name in lost else Feed.PEERS
             table.hear(report(other, feed=feed), 0.0)
-        return set(watchers(table, own_feed=Feed.STORE, count=3, now=0.1))
+        return watchers(table, own_feed=Feed.STORE, count=1, now=0.1)
 
     chosen = view(everyone[0])
+    assert len(chosen) == 1
     assert all(view(own) == chosen for own in everyone)
-    assert {name[0] for name in chosen} == {"n", "s", "w"}
-    lost = sorted(chosen)[0]
     other = next(r for r in everyone if r.name not in chosen)
-    after = view(other, lost=(lost,))
-    assert lost not in after
-    assert len(after) == 3
+    after = view(other, lost=chosen)
+    assert len(after) == 1
+    assert after != chosen
--- a/kingcupvane/tests/test_quota.py
+++ b/kingcupvane/tests/test_quota.py
@@ -8,6 +8,8 @@
 
 import pytest
 
+from kingcupvane.process.reporting import DATA_CENTRE_SILENT_S
+from kingcupvane.process.summary import UseTotals
 from kingcupvane.request.quota import QuotaDivision
 from kingcupvane.version.plan import AccountPlan
 
@@ -57,6 +59,7 @@
                     other.hear(
                         str(i),
                         one.use(self.now),
+                        source=str(i),
                         incarnation=self.incarnations[i],
                         now=self.now,
                     )
@@ -96,6 +99,120 @@
         return (plan.rate * WINDOW_S + plan.burst) * (1 + OVERAGE) + SLACK
 
 
+class LayeredFleet(Fleet):
+    """Gateways in data centres whose hubs exchange summaries.
+
+    A summary has the figures that the hub last heard, and reaches the other
+    gateways of a data centre with their hub's next report.
+    """
+
+    def __init__(self, *, centres, members, plan):
+        """Starts `members` gateways in each of `centres` data centres."""
+        super().__init__(count=centres * members, plan=plan)
+        self.members = members
+        self.hub_by_centre = [c * members for c in range(centres)]
+        self.totals = [UseTotals() for _ in self.gateways]
+        self.summaries_by_hub = {}
+        self.rounds = 0
+
+    def report(self):
+        """Makes the hops of one period; hubs talk in every second one."""
+        self.rounds += 1
+        self._report_near()
+        if self.rounds % 2:
+            self._report_far()
+        for gateway in self.gateways:
+            gateway.refresh([self.plan], self.now)
+
+    def _report_near(self):
+        news_by_hub, self.summaries_by_hub = self.summaries_by_hub, {}
+        for i, one in enumerate(self.gateways):
+            use = one.use(self.now)
+            for j, other in enumerate(self.gateways):
+                if i // self.members != j // self.members:
+                    continue
+                self.totals[j].hear(str(i), self.incarnations[i], use)
+                if i == j:
+                    continue
+                other.hear(
+                    str(i),
+                    use,
+                    source=str(i),
+                    incarnation=self.incarnations[i],
+                    now=self.now,
+                )
+                for heard in news_by_hub.get(i, {}).items():
+                    self._tell(j, *heard)
+
+    def _report_far(self):
+        for one in self.hub_by_centre:
+            near = self.gateways[one // self.members * self.members :][
+                : self.members
+            ]
+            self.totals[one].hear(
+                str(one),
+                self.incarnations[one],
+                self.gateways[one].use(self.now),
+            )
+            use = self.totals[one].use(g.use(self.now) for g in near)
+            for other in self.hub_by_centre:
+                if one != other and self.heard(one, other):
+                    heard = self.summaries_by_hub.setdefault(other, {})
+                    heard[one // self.members] = (one, use)
+                    self._tell(other, one // self.members, (one, use))
+
+    def _tell(self, to, centre, told):
+        source, use = told
+        self.gateways[to].hear(
+            f"centre {centre}",
+            use,
+            source=str(source),
+            incarnation=self.incarnations[source],
+            now=self.now,
+            silent_s=DATA_CENTRE_SILENT_S,
+        )
+
+    def change_hubs(self):
+        """Lets the next gateway of each data centre be its hub."""
+        for centre, hub in enumerate(self.hub_by_centre):
+            following = (hub + 1) % self.members
+            self.hub_by_centre[centre] = centre * self.members + following
+        self.summaries_by_hub.clear()
+
+
+@pytest.mark.parametrize("rate", [8, 40, 230])
+@pytest.mark.parametrize("seed", range(3))
+def test_layers_keep_an_account_within_its_limit(rate, seed):
+    fleet = LayeredFleet(centres=6, members=2, plan=account(rate))
+    fleet.play(seed=seed, demand=rate / 1.6, seconds=10)
+    assert fleet.refused <= 0.01 * len(fleet.admitted)
+    fleet.play(seed=seed + 9, demand=rate * 4.7, seconds=15)
+    assert fleet.worst_window() <= fleet.bound()
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_layers_go_on_when_hubs_change(seed):
+    fleet = LayeredFleet(centres=6, members=3, plan=account(60))
+    fleet.play(seed=seed, demand=38, seconds=10)
+    for turn in range(4):
+        fleet.change_hubs()
+        fleet.play(seed=seed + turn, demand=38, seconds=3)
+    assert fleet.refused <= 0.02 * len(fleet.admitted)
+    fleet.change_hubs()
+    fleet.play(seed=seed + 9, demand=280, seconds=10)
+    assert fleet.worst_window() <= fleet.bound()
+
+
+@pytest.mark.parametrize("rate", [60, 200])
+@pytest.mark.parametrize("seed", range(5))
+def test_parted_layers_stay_below_the_bound(rate, seed):
+    fleet = LayeredFleet(centres=6, members=2, plan=account(rate))
+    fleet.play(seed=seed, demand=rate / 1.6, seconds=10)
+    fleet.heard = lambda one, other: (one < 4) == (other < 4)
+    fleet.play(seed=seed + 1, demand=4.7 * rate, seconds=10)
+    assert fleet.worst_window() <= fleet.bound()
+
+
 @pytest.mark.parametrize("rate", [8, 40, 230])
 @pytest.mark.parametrize("seed", range(3))
 def test_account_within_its_rate_is_hardly_refused(rate, seed):
