--- a/kingcupvane/request/passage.py
+++ b/kingcupvane/request/passage.py
@@ -70,7 +70,8 @@
         body: The whole body.
         print_: Equal for repeats of the request.
         service: Service that it goes to.
-        sends: Targets that it was sent to.
+        sends: Targets that it was sent to, in order.
+        avoided: Targets that it is not sent to again.
         runs: Targets that may have run it.
         trace: One word for each attempt: target, ending, milliseconds taken
             and expected, expected wait, and whether it knew the object.
@@ -88,6 +89,7 @@
     print_: str = ""
     service: str = ""
     sends: list[str] = field(default_factory=list)
+    avoided: set[str] = field(default_factory=set)
     runs: int = 0
     trace: list[str] = field(default_factory=list)
 
--- a/kingcupvane/request/placement.py
+++ b/kingcupvane/request/placement.py
@@ -59,8 +59,10 @@
 FAILURES_TO_EJECT = 3
 EJECT_MIN_S = 0.5
 EJECT_MAX_S = 4.0
-# A shedding target is avoided for this long, in seconds.
+# A target that sheds because it is full is avoided for this long, in seconds.
 SHED_PAUSE_S = 0.15
+# Part of a failure that a shed request counts as.
+SHED_WEIGHT = 0.5
 # The share of failures that a target's cost counts as this much delay, in s.
 FAILURE_COST_S = 1.0
 # A target's load that others cause is forgotten with this time constant, in s.
@@ -94,6 +96,11 @@
     waiting: int
     slots: int
 
+    @property
+    def is_full(self) -> bool:
+        """Whether a further request would have to wait."""
+        return self.running >= self.slots
+
 
 class WorkEstimate:
     """Smoothed work of a service's requests, by whether the object is warm.
@@ -197,13 +204,16 @@
         """
         self.in_flight -= 1
         if reported is not None:
-            self._note_load(reported, now)
+            # The report counts a request that ran as running.
+            own = 0 if ending is Ending.SHED else 1
+            self._note_load(reported.running + reported.waiting - own, now)
         match ending:
             case Ending.ANSWERED:
                 self._succeed(ratio)
             case Ending.SHED:
-                self._avoided_until = now + SHED_PAUSE_S
-                self._note_failure(0.5)
+                self._note_failure(SHED_WEIGHT)
+                if reported is None or reported.is_full:
+                    self._avoided_until = now + SHED_PAUSE_S
             case Ending.FAILED | Ending.BROKEN | Ending.TIMEOUT:
                 self._note_failure(1.0)
                 self._failures += 1
@@ -226,9 +236,7 @@
     def _note_failure(self, weight: float) -> None:
         self.failure_share += SMOOTHING * (weight - self.failure_share)
 
-    def _note_load(self, reported: ReportedLoad, now: float) -> None:
-        # The report counts the request that is answered with it as running.
-        total = reported.running + reported.waiting - 1
+    def _note_load(self, total: int, now: float) -> None:
         seen = max(0.0, total - self.in_flight)
         age = max(0.0, now - self._others_at)
         before = self._others * math.exp(-age / LOAD_DECAY_S)
--- a/kingcupvane/request/selection.py
+++ b/kingcupvane/request/selection.py
@@ -119,7 +119,7 @@
         gateways = self._gateways()
         for view in catalog.views(passage.service):
             target = view.target
-            if target.leaving or target.name in passage.sends:
+            if target.leaving or target.name in passage.avoided:
                 continue
             if target.data_centre in catalog.evacuated:
                 continue
--- a/kingcupvane/request/sending.py
+++ b/kingcupvane/request/sending.py
@@ -108,6 +108,7 @@
         target = view.target
         started = self._clock.now()
         passage.sends.append(target.name)
+        passage.avoided.add(target.name)
         catalog.cold.count(
             target.name, rate=catalog.cold_rate(target.service), now=started
         )
@@ -147,6 +148,9 @@
             if candidate.known and work.is_known:
                 ratio = ratio_of(candidate, seconds)
             learn_work(work, candidate, reported, seconds)
+        if _shed_with_room(attempt, reported):
+            # It refuses a part of all requests; the next one may be taken.
+            passage.avoided.discard(view.target.name)
         ejected = view.finish(
             attempt.ending, ratio=ratio, reported=reported, now=now
         )
@@ -301,6 +305,12 @@
         )
 
 
+def _shed_with_room(attempt: Attempt, reported: ReportedLoad | None) -> bool:
+    if attempt.ending is not Ending.SHED or reported is None:
+        return False
+    return not reported.is_full
+
+
 def _trace(candidate: Candidate, attempt: Attempt, seconds: float) -> str:
     """Returns one word on an attempt, for the request's line."""
     known = "known" if candidate.known else "new"
--- a/kingcupvane/tests/test_steering.py
+++ b/kingcupvane/tests/test_steering.py
@@ -305,6 +305,30 @@
     assert float(headers[b"retry-after"]) > 0
 
 
+def test_target_that_sheds_with_room_is_asked_again(make):
+    """It refuses a part of all requests, and knows the object."""
+    shed = WireAnswer(
+        status=503,
+        headers=[(b"not-executed", b"1"), (b"load", b"1,0,4")],
+        body=b"",
+    )
+    gateway = make(shed, answer(), routes=(route(**ONCE),))
+    assert gateway.ask()[0] == 200
+    assert len(gateway.pool.names) == 2
+    assert len(set(gateway.pool.names)) == 1
+
+
+def test_target_that_sheds_when_full_is_left_alone(make):
+    shed = WireAnswer(
+        status=503,
+        headers=[(b"not-executed", b"1"), (b"load", b"4,12,4")],
+        body=b"",
+    )
+    gateway = make(shed, answer(), routes=(route(**ONCE),))
+    assert gateway.ask()[0] == 200
+    assert len(set(gateway.pool.names)) == 2
+
+
 def test_caller_that_left_ends_the_exchange(make):
     gateway = make(None)
     assert gateway.ask(gone=True) is None
