--- a/kingcupvane/process/borrower.py
+++ b/kingcupvane/process/borrower.py
@@ -82,11 +82,25 @@
 
     async def round(self) -> None:
         """Asks for what each service needs."""
+        by_service = self._replica.current.targets_by_service
+        wanted = [
+            request
+            for service, targets in by_service.items()
+            for request in self._requests(service, targets)
+        ]
+        self._stop_using(wanted)
         async with trio.open_nursery() as nursery:
-            by_service = self._replica.current.targets_by_service
-            for service, targets in by_service.items():
-                for offer, slots in self._requests(service, targets):
-                    nursery.start_soon(self._ask, offer, slots)
+            for offer, slots in wanted:
+                nursery.start_soon(self._ask, offer, slots)
+        self._update_board()
+
+    def _stop_using(self, wanted: list[tuple[Offer, int]]) -> None:
+        """Gives slots up before the lender hears that it may use them."""
+        now = self._clock.now()
+        for offer, slots in wanted:
+            self._board.lower_loan(
+                offer.target.name, offer.lender.name, slots, now
+            )
         self._update_board()
 
     def _requests(
--- a/kingcupvane/request/routing.py
+++ b/kingcupvane/request/routing.py
@@ -196,6 +196,14 @@
         """Takes in a loan of slots that ends at `until`."""
         self._borrowed[(target, lender)] = _Holding(slots=slots, until=until)
 
+    def lower_loan(
+        self, target: str, lender: str, slots: int, now: float
+    ) -> None:
+        """Keeps at most `slots` of a loan."""
+        held = self._borrowed.get((target, lender))
+        if held is not None and now < held.until and slots < held.slots:
+            self.borrow(target, lender, slots, held.until)
+
     def borrowed(self, target: str, now: float) -> int:
         """Returns how many slots of a target others lend to this entry."""
         return sum(
--- /dev/null
+++ b/kingcupvane/tests/test_borrower.py
@@ -0,0 +1,59 @@
+"""Tests of borrowing slots of targets from other entries."""
+
+from types import SimpleNamespace
+
+import trio
+from result import Ok
+
+from kingcupvane.connection.messages import LoanReply
+from kingcupvane.process.borrower import Borrower
+from kingcupvane.request.routing import TargetBoard
+from kingcupvane.tests.builders import entry, target
+
+TTL_S = 10.0
+
+
+class Lender:
+    """Answers loans; what the borrower could use meanwhile is noted."""
+
+    def __init__(self, *, board, target):
+        """Starts without questions."""
+        self._board = board
+        self._target = target
+        self.usable = []
+
+    async def ask(self, address, request):
+        await trio.lowlevel.checkpoint()
+        self.usable.append(self._board.load(self._target).allotment)
+        return Ok(LoanReply(slots=request.slots, ttl_s=TTL_S))
+
+
+def test_slots_that_are_given_back_are_not_used_meanwhile():
+    """The lender may use them as soon as it hears of it."""
+    far = target(name="t-b1", data_centre="b")
+    lender = entry(name="e-b1", data_centre="b")
+    board = TargetBoard(name="e-a1", data_centre="a", seed=1)
+    board.borrow(far.name, lender.name, 2, TTL_S)
+    current = SimpleNamespace(
+        targets_by_name={far.name: far},
+        targets_by_service={far.service: (far,)},
+        entries_by_data_centre={"b": (lender,)},
+    )
+    client = Lender(board=board, target=far)
+    borrower = Borrower(
+        settings=SimpleNamespace(name="e-a1", data_centre="a", region="a"),
+        board=board,
+        dispatcher=SimpleNamespace(waiting=lambda service: 0),
+        client=client,
+        replica=SimpleNamespace(current=current),
+        clock=SimpleNamespace(now=lambda: 0.0),
+        timeline=SimpleNamespace(record=lambda kind, **fields: None),
+        update_board=lambda: board.update(current, [], 0.0),
+    )
+    board.update(current, [], 0.0)
+    load = board.load(far)
+    load.limit = 4.0
+    load.start()
+    assert load.allotment == 2
+    trio.run(borrower.round)
+    assert client.usable == [1]
