--- a/kingcupvane/standin/target.py
+++ b/kingcupvane/standin/target.py
@@ -129,13 +129,17 @@
         self._present += 1
         self._report.peak = max(self._report.peak, self._present)
         try:
-            await self._serve_or_cancel(request, body, send)
+            done = await self._serve_or_cancel(request, body, send)
         finally:
             self._present -= 1
+        if not done:
+            # The server would answer 500 if this returned without an answer.
+            await request.wait_closed()
 
     async def _serve_or_cancel(
         self, request: asgi.HttpRequest, body: bytes, send: asgi.Send
-    ) -> None:
+    ) -> bool:
+        """Returns whether the request was worked on to its end."""
         served_before = self._report.served
         async with trio.open_nursery() as nursery:
             scope = nursery.cancel_scope
@@ -144,9 +148,10 @@
             async with self._slots:
                 await self._execute(request, body, send)
             nursery.cancel_scope.cancel()
-            return
+            return True
         if self._report.served == served_before:
             self._report.cancelled += 1
+        return False
 
     async def _execute(
         self, request: asgi.HttpRequest, body: bytes, send: asgi.Send
--- /dev/null
+++ b/kingcupvane/tests/test_standin_target.py
@@ -0,0 +1,54 @@
+"""Tests of the stand-in of a target."""
+
+import trio
+import trio.testing
+
+from kingcupvane import asgi
+from kingcupvane.settings import TargetStandinSettings
+from kingcupvane.standin.target import TargetServer
+
+TIMEOUT_S = 0.5
+
+
+def test_request_that_ran_out_of_time_gets_no_answer_at_all():
+    """An answer at that moment would race with the caller's own timeout."""
+    server = TargetServer(
+        settings=TargetStandinSettings(
+            name="t",
+            address="127.0.0.1:1",
+            version="v1",
+            slots=1,
+            service_s=100 * TIMEOUT_S,
+            cold_s=0.0,
+        )
+    )
+    sent = []
+    left_at = 4 * TIMEOUT_S
+    ended_at = []
+
+    async def send(message):
+        sent.append(message)
+
+    async def receive():
+        if not receive.called:
+            receive.called = True
+            return {"type": "http.request", "body": b""}
+        await trio.sleep_until(left_at)
+        return {"type": "http.disconnect"}
+
+    receive.called = False
+    request = asgi.HttpRequest(
+        method="GET",
+        path="/treaty/pos/1",
+        query="",
+        headers={"request-timeout": str(TIMEOUT_S)},
+        receive=receive,
+    )
+
+    async def main():
+        await server.handle(request, send)
+        ended_at.append(trio.current_time())
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert sent == []
+    assert ended_at == [left_at]
