Report less often between gateways without callers; check targets as they are ranked

Now only gateways with callers do, the others every 0.6 s; the check runs down the ranking until four targets are found; rankings are forgotten by service. Gateways without callers have no part in account limits.

--- a/kingcupvane/process/catalog.py
+++ b/kingcupvane/process/catalog.py
@@ -293,7 +293,10 @@
             view.target = target
             return
         self._views_by_name[name] = TargetView(target=target)
-        self._index()
+        services = {target.service}
+        if view is not None:
+            services.add(view.target.service)
+        self._index(services)
         self._timeline.record(
             "target-registered",
             target=name,
@@ -315,9 +318,10 @@
 
     def _remove(self, name: str) -> None:
         self._removed_at.pop(name, None)
-        if self._views_by_name.pop(name, None) is not None:
+        view = self._views_by_name.pop(name, None)
+        if view is not None:
             self.cold.forget([name])
-            self._index()
+            self._index({view.target.service})
             self._timeline.record("target-gone", target=name)
 
     def _take_evacuation(self, name: str, *, evacuated: bool) -> None:
@@ -339,12 +343,16 @@
             if target.data_centre == data_centre and service is not None:
                 self.cold.note(target.name, left_s=service.cold_s, now=now)
 
-    def _index(self) -> None:
-        by_service: dict[str, list[TargetView]] = {}
-        for view in self._views_by_name.values():
-            by_service.setdefault(view.target.service, []).append(view)
-        self._views_by_service = by_service
-        self._ranks.clear()
+    def _index(self, services: set[str]) -> None:
+        """Collects the targets of some services again."""
+        for service in services:
+            views = [
+                view
+                for view in self._views_by_name.values()
+                if view.target.service == service
+            ]
+            _put(self._views_by_service, service, views or None)
+            self._ranks.forget(service)
 
 
 def _same_start(known: RegisteredTarget, offered: RegisteredTarget) -> bool:
--- a/kingcupvane/process/peering.py
+++ b/kingcupvane/process/peering.py
@@ -11,7 +11,7 @@
 know. A gateway is live while its reports, or summaries that name it, come.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Container, Iterable, Iterator
 from dataclasses import dataclass
 
 from kingcupvane.connection.messages import (
@@ -208,12 +208,7 @@
 
     def near(self, now: float) -> list[Peer]:
         """Returns the live peers of the own data centre."""
-        return [
-            peer
-            for peer in self._peers_by_name.values()
-            if peer.record.data_centre == self.own.data_centre
-            and peer.is_live(now)
-        ]
+        return [peer for peer in self._near_known() if peer.is_live(now)]
 
     def summaries(self, now: float) -> list[HeardSummary]:
         """Returns what is known of the other data centres that are live."""
@@ -270,7 +265,9 @@
         """Returns whether nobody is heard."""
         return not self.near(now) and not self.summaries(now)
 
-    def near_addresses(self, now: float, *, everybody: bool) -> list[str]:
+    def near_addresses(
+        self, now: float, *, names: Container[str] | None = None
+    ) -> list[str]:
         """Returns which gateways of the own data centre to report to.
 
         One question serves both sides; the one with the lower name asks, and
@@ -278,19 +275,43 @@
 
         Args:
             now: Monotonic seconds.
-            everybody: Whether there are news that cannot wait to be asked for.
+            names: Leaves out all others that are live; None for nobody.
         """
         return sorted(
             peer.record.peer_address
-            for peer in self._peers_by_name.values()
-            if peer.record.data_centre == self.own.data_centre
-            and (
-                everybody
-                or self.own.name < peer.record.name
-                or not peer.is_live(now)
+            for peer in self._near_known()
+            if not peer.is_live(now)
+            or (
+                self.own.name < peer.record.name
+                and (names is None or peer.record.name in names)
             )
         )
 
+    def all_near_addresses(self) -> list[str]:
+        """Returns all known gateways of the own data centre."""
+        return sorted(peer.record.peer_address for peer in self._near_known())
+
+    def _near_known(self) -> Iterator[Peer]:
+        for peer in self._peers_by_name.values():
+            if peer.record.data_centre == self.own.data_centre:
+                yield peer
+
+    def near_entrances(self, now: float, *, ready: bool) -> set[str]:
+        """Returns the gateways of the data centre to which callers are sent.
+
+        Args:
+            now: Monotonic seconds.
+            ready: Whether this gateway itself takes callers.
+        """
+        records = [
+            peer.record
+            for peer in self.near(now)
+            if peer.report is not None and peer.report.ready
+        ]
+        if ready:
+            records.append(self.own)
+        return {record.name for record in entrances(records)}
+
     def far_addresses(self, now: float) -> list[str]:
         """Returns which gateways of other data centres to report to.
 
--- a/kingcupvane/process/reporting.py
+++ b/kingcupvane/process/reporting.py
@@ -30,12 +30,18 @@
 from kingcupvane.process.rollout import RolloutCases, RolloutRegister
 from kingcupvane.process.summary import UseTotals, summarize
 from kingcupvane.process.timeline import HybridClock, Timeline
-from kingcupvane.request.quota import QuotaDivision
+from kingcupvane.request.quota import SILENT_S, QuotaDivision
 from kingcupvane.request.retry import CrashRegistry
 from kingcupvane.version.move import MoveState
 
-# Period of the reports within a data centre, in seconds.
+# Period of the reports between gateways of a data centre to which callers are
+# sent, in seconds: they share the limits of client accounts.
 REPORT_PERIOD_S = 0.2
+# Reports of which one goes to all other gateways of the data centre.
+REPORTS_PER_QUIET = 3
+# Silence after which such a gateway is taken to use its whole part of an
+# account's limit, in seconds.
+QUIET_SILENT_S = 1.5
 # Reports of which one goes to other data centres as well: their bytes are
 # scarce.
 REPORTS_PER_FAR = 2
@@ -221,6 +227,7 @@
                 source=sender.name,
                 incarnation=sender.incarnation,
                 now=now,
+                silent_s=self._near_silent_s(sender.name, now),
             )
             self._totals.hear(sender.name, sender.incarnation, report.use)
         for summary in report.summaries:
@@ -240,6 +247,11 @@
             self._ahead.address = sender.peer_address
             self._ahead.is_set.set()
 
+    def _near_silent_s(self, name: str, now: float) -> float:
+        busy = self._peers.near_entrances(now, ready=self._is_ready())
+        fast = name in busy and self._peers.own.name in busy
+        return SILENT_S if fast else QUIET_SILENT_S
+
     def _hear_summary(
         self, summary: DataCentreSummary, teller: GatewayRecord
     ) -> None:
@@ -280,7 +292,7 @@
             nursery.start_soon(self._spread_news)
             turn = 0
             while True:
-                self._report_near(everybody=False)
+                self._report_near(quiet=turn % REPORTS_PER_QUIET == 0)
                 if turn % REPORTS_PER_FAR == 0:
                     self._report_far()
                 turn += 1
@@ -288,12 +300,25 @@
 
     def report_all(self) -> None:
         """Reports at once to everybody that this gateway reports to."""
-        self._report_near(everybody=True)
+        self._report_everybody_near()
         self._report_far()
 
-    def _report_near(self, *, everybody: bool) -> None:
+    def _report_near(self, *, quiet: bool) -> None:
+        """Reports within the data centre.
+
+        Args:
+            quiet: Whether it is the turn of gateways without callers, too.
+        """
         now = self._clock.now()
-        for address in self._peers.near_addresses(now, everybody=everybody):
+        names = None
+        if not quiet:
+            busy = self._peers.near_entrances(now, ready=self._is_ready())
+            names = busy if self._peers.own.name in busy else ()
+        for address in self._peers.near_addresses(now, names=names):
+            self._start_talk(address, near=True)
+
+    def _report_everybody_near(self) -> None:
+        for address in self._peers.all_near_addresses():
             self._start_talk(address, near=True)
 
     def _report_far(self) -> None:
@@ -309,7 +334,7 @@
         while True:
             await self._news.wait()
             self._news = trio.Event()
-            self._report_near(everybody=True)
+            self._report_everybody_near()
             await trio.sleep(NEWS_PERIOD_S)
 
     def _start_talk(self, address: str, *, near: bool) -> None:
--- a/kingcupvane/request/placement.py
+++ b/kingcupvane/request/placement.py
@@ -13,7 +13,7 @@
 import enum
 import math
 from collections import OrderedDict
-from collections.abc import Iterable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, replace
 
 from kingcupvane.hashing import spread
@@ -343,17 +343,17 @@
             tuple[str, str, bool], list[TargetView]
         ] = {}
 
-    def clear(self) -> None:
-        """Forgets all rankings, since targets came or went."""
-        self._ranking_by_subject.clear()
+    def forget(self, service: str) -> None:
+        """Forgets the rankings of a service, since its targets changed."""
+        for key in [k for k in self._ranking_by_subject if k[0] == service]:
+            del self._ranking_by_subject[key]
 
     def weigh(self, service: str, parts: Mapping[str, float]) -> None:
         """Sets the weight of a service's slots by region."""
         if self._parts_by_service.get(service) == parts:
             return
         self._parts_by_service[service] = parts
-        for key in [k for k in self._ranking_by_subject if k[0] == service]:
-            del self._ranking_by_subject[key]
+        self.forget(service)
 
     def get(
         self,
@@ -375,7 +375,7 @@
                 bulk=bulk,
             )
             if len(self._ranking_by_subject) >= self._capacity:
-                self.clear()
+                self._ranking_by_subject.clear()
             self._ranking_by_subject[key] = ranking
         return ranking
 
@@ -462,7 +462,7 @@
     ranking: Sequence[TargetView],
     *,
     subject: str,
-    usable: Mapping[str, bool] | None,
+    usable: Callable[[TargetView], bool] | None,
     work: WorkEstimate,
     place: Place,
     size: int,
@@ -478,7 +478,7 @@
     Args:
         ranking: Targets, the best rank first.
         subject: The object that is asked for; empty for none.
-        usable: Names of the targets that may be used; None for all.
+        usable: Returns whether a target may be used; None for all.
         work: Work of the service's requests.
         place: Where the gateway stands.
         size: Bytes of the request and the expected answer.
@@ -511,16 +511,16 @@
 
 def _first_usable(
     ranking: Sequence[TargetView],
-    usable: Mapping[str, bool] | None,
+    usable: Callable[[TargetView], bool] | None,
     now: float,
 ) -> Iterator[TargetView]:
     """Yields the first targets of a ranking that may be compared."""
     count = 0
     for view in ranking:
-        if usable is not None and view.target.name not in usable:
-            continue
         if view.is_avoided(now):
             continue
+        if usable is not None and not usable(view):
+            continue
         yield view
         count += 1
         if count >= CANDIDATES:
--- a/kingcupvane/request/quota.py
+++ b/kingcupvane/request/quota.py
@@ -171,7 +171,8 @@
         """Takes in what a peer's callers ask for and what it admitted.
 
         Args:
-            peer: A gateway, or a whole data centre.
+            peer: A gateway, or a whole data centre. One that has never had
+                callers takes no part.
             use: What it tells.
             source: Gateway that has counted; counters of two of them cannot
                 be compared.
@@ -181,6 +182,8 @@
                 part, in seconds.
         """
         before = self._peers_by_name.get(peer)
+        if before is None and not use:
+            return
         if before is not None and before.source != source:
             self._change_source(
                 peer, use, source=source, incarnation=incarnation, now=now
--- a/kingcupvane/request/selection.py
+++ b/kingcupvane/request/selection.py
@@ -1,6 +1,7 @@
 """Selects the service and the target that get a request."""
 
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Mapping
+from functools import partial
 
 from kingcupvane.hashing import spread
 from kingcupvane.process.catalog import Catalog
@@ -82,16 +83,10 @@
         )
         sides = [""] if shares is None else _sides(shares, passage.ranked_by)
         for side in sides:
-            usable = {
-                view.target.name: True
-                for view in self._usable(passage, side, now)
-            }
-            if not usable:
-                continue
             candidate = choose(
                 self._catalog.ranking(service, passage.ranked_by, size=size),
                 subject=passage.subject,
-                usable=usable,
+                usable=partial(self._may_use, passage, side, now),
                 work=self._catalog.work(service),
                 place=self._catalog.place,
                 size=size,
@@ -109,32 +104,33 @@
         outcome = self._catalog.outcomes_by_service.get(service)
         return shares_of(order, outcome, state)
 
-    def _usable(
-        self, passage: Passage, side: str, now: float
-    ) -> Iterator[TargetView]:
-        catalog = self._catalog
-        order = catalog.orders_by_service.get(passage.service)
-        homes = passage.route.regions
-        account = passage.account
-        gateways = self._gateways()
-        for view in catalog.views(passage.service):
-            target = view.target
-            if target.leaving or target.name in passage.avoided:
-                continue
-            if target.data_centre in catalog.evacuated:
-                continue
-            if homes and target.region not in homes:
-                continue
-            bound = account.regions if account is not None else None
-            if bound and target.region not in bound:
-                continue
-            if order is not None and side:
-                is_new = target.version == order.version
-                if is_new != (side == NEW):
-                    continue
-            if not catalog.cold.may_use(target.name, gateways, now):
-                continue
-            yield view
+    def _may_use(
+        self, passage: Passage, side: str, now: float, view: TargetView
+    ) -> bool:
+        """Returns whether a target may get a request now."""
+        target = view.target
+        if target.leaving or target.name in passage.avoided:
+            return False
+        if target.data_centre in self._catalog.evacuated:
+            return False
+        if not _is_home(target.region, passage):
+            return False
+        order = self._catalog.orders_by_service.get(passage.service)
+        if order is not None and side:
+            is_new = target.version == order.version
+            if is_new != (side == NEW):
+                return False
+        return self._catalog.cold.may_use(target.name, self._gateways(), now)
+
+
+def _is_home(region: str, passage: Passage) -> bool:
+    """Returns whether route and account may be served in a region."""
+    homes = passage.route.regions
+    if homes and region not in homes:
+        return False
+    account = passage.account
+    bound = account.regions if account is not None else None
+    return not bound or region in bound
 
 
 def _sides(shares: Mapping[str, VersionShare], subject: str) -> list[str]:
--- a/kingcupvane/request/spill.py
+++ b/kingcupvane/request/spill.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 
 # Utilization of a region's own targets beyond which requests go elsewhere.
-UTILIZATION_OWN = 0.62
+UTILIZATION_OWN = 0.5
 # Utilization up to which other regions' requests fill a region.
 UTILIZATION_GUEST = 0.7
 # Largest change of a part in one step, and its grain.
--- a/kingcupvane/tests/test_peering.py
+++ b/kingcupvane/tests/test_peering.py
@@ -91,7 +91,7 @@
 def test_peer_of_a_peer_is_asked_but_not_named():
     table = PeerTable(own=record("a"))
     table.hear(report(record("b"), known=[record("c")]), 0.0)
-    addresses = table.near_addresses(0.0, everybody=False)
+    addresses = table.near_addresses(0.0)
     assert addresses == ["b:90", "c:90"]
     assert names(table, 0.0) == ["a:80", "b:80"]
 
@@ -99,9 +99,19 @@
 def test_one_of_two_near_gateways_asks_until_it_falls_silent():
     table = PeerTable(own=record("b"))
     table.hear(report(record("a")), 0.0)
-    assert table.near_addresses(0.1, everybody=False) == []
-    assert table.near_addresses(0.1, everybody=True) == ["a:90"]
-    assert table.near_addresses(LIVE_S + 0.1, everybody=False) == ["a:90"]
+    assert table.near_addresses(0.1) == []
+    assert table.all_near_addresses() == ["a:90"]
+    assert table.near_addresses(LIVE_S + 0.1) == ["a:90"]
+
+
+def test_gateways_with_callers_report_to_each_other_more_often():
+    table = PeerTable(own=record("a", link_mbps=200.0))
+    table.hear(report(record("b", link_mbps=200.0)), 0.0)
+    table.hear(report(record("c")), 0.0)
+    busy = table.near_entrances(0.1, ready=True)
+    assert busy == {"a", "b"}
+    assert table.near_addresses(0.1, names=busy) == ["b:90"]
+    assert table.near_addresses(0.1) == ["b:90", "c:90"]
 
 
 def test_leaving_gateway_is_named_no_more():
@@ -158,7 +168,7 @@
     table = PeerTable(own=record("a"))
     table.hear(report(record("b")), 0.0)
     assert table.forget(MEMORY_S + 1) == ["b"]
-    assert table.near_addresses(MEMORY_S + 1, everybody=True) == []
+    assert table.all_near_addresses() == []
 
 
 def test_all_of_a_data_centre_name_the_same_hub():
@@ -229,7 +239,7 @@
     table = PeerTable(own=record("a"))
     told = summary("north-a", "b")
     assert not table.hear_summary(told, 0.0, teller=record("x"))
-    assert table.near_addresses(0.1, everybody=False) == ["b:90"]
+    assert table.near_addresses(0.1) == ["b:90"]
     assert table.live_names(0.1) == ["a"]
 
 
