--- /dev/null
+++ b/kingcupvane/tests/test_collection.py
@@ -0,0 +1,71 @@
+"""Tests of collecting the counters of versions."""
+
+import trio
+from result import Err, Ok
+
+from kingcupvane.connection.messages import (
+    EvidenceReply,
+    EvidenceRequest,
+    GatherReply,
+    GatherRequest,
+    SourceEvidence,
+)
+from kingcupvane.errors import PeerError
+from kingcupvane.process.collection import EvidenceCollector
+from kingcupvane.process.evidence import EvidenceCounter
+from kingcupvane.process.peering import PeerTable
+from kingcupvane.request.dispatch import Sample
+from kingcupvane.tests.test_peering import hear_far, record, report, summary
+
+
+class Peers:
+    """Answers questions for other gateways."""
+
+    def __init__(self):
+        """Starts without questions."""
+        self.asked = []
+        self.dead = set()
+
+    async def ask(self, address, message):
+        await trio.lowlevel.checkpoint()
+        self.asked.append((address, type(message)))
+        if address in self.dead:
+            return Err(PeerError(step="test", peer=address, detail="dead"))
+        if isinstance(message, EvidenceRequest):
+            return Ok(EvidenceReply(incarnation=1, tallies=[]))
+        found = SourceEvidence(f"of {address}", 1, [])
+        return Ok(GatherReply(sources=[found]))
+
+
+def collector(peers, clock):
+    table = PeerTable(own=record("a"))
+    table.hear(report(record("b")), clock.now())
+    hear_far(table, summary("d2", "c", "d"), clock.now())
+    evidence = EvidenceCounter()
+    evidence.add(
+        Sample(
+            service="s", version="v1", route="/r/", failed=False, latency_s=0.1
+        )
+    )
+    return EvidenceCollector(
+        evidence=evidence, peers=table, client=peers, clock=clock
+    )
+
+
+def test_near_gateways_are_asked_and_others_through_their_hub(clock):
+    peers = Peers()
+    found = trio.run(collector(peers, clock).everywhere, ["s"])
+    assert sorted(peers.asked) == [
+        ("b:90", EvidenceRequest),
+        ("c:90", GatherRequest),
+    ]
+    assert sorted(source.name for source in found) == ["a", "b", "of c:90"]
+    own = next(source for source in found if source.name == "a")
+    assert own.tallies[0].count == 1
+
+
+def test_gateways_that_do_not_answer_are_left_out(clock):
+    peers = Peers()
+    peers.dead = {"b:90", "c:90"}
+    found = trio.run(collector(peers, clock).everywhere, ["s"])
+    assert [source.name for source in found] == ["a"]
--- a/kingcupvane/tests/test_summary.py
+++ b/kingcupvane/tests/test_summary.py
@@ -1,5 +1,8 @@
 """Tests of the summary of a data centre."""
 
+from hypothesis import given, seed
+from hypothesis import strategies as st
+
 from kingcupvane.connection.messages import Stamp
 from kingcupvane.process.summary import UseTotals, summarize
 from kingcupvane.request.quota import AccountUse
@@ -37,3 +40,36 @@
     assert [m.name for m in told.members] == ["a", "b"]
     assert [m.ready for m in told.members] == [True, False]
     assert told.stamp == Stamp(7)
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from("abc"), st.booleans(), st.integers(0, 9), st.booleans()
+    ),
+    max_size=40,
+)
+
+
+@seed(7)
+@given(STEPS)
+def test_total_is_all_that_was_admitted_while_heard(steps):
+    """Gateways count up, restart and are heard in any order."""
+    totals = UseTotals()
+    counters = dict.fromkeys("abc", 0)
+    starts = dict.fromkeys("abc", 1)
+    for name in "abc":
+        totals.hear(name, 1, use(0))
+    expected = 0
+    unheard = dict.fromkeys("abc", 0)
+    for name, restarts, admitted, heard in steps:
+        if restarts:
+            counters[name] = unheard[name] = 0
+            starts[name] += 1
+        counters[name] += admitted
+        unheard[name] += admitted
+        if heard:
+            totals.hear(name, starts[name], use(counters[name]))
+            expected += unheard[name]
+            unheard[name] = 0
+            told = totals.use([]).get("acme", AccountUse(0.0, 0))
+            assert told.admitted == expected
