--- a/kingcupvane/tests/test_gateway.py
+++ b/kingcupvane/tests/test_platform_gateway.py
@@ -1,4 +1,4 @@
-"""Tests of whole gateways on loopback, with a store in memory."""
+"""Tests of whole gateways on loopback, with adapter and a store in memory."""
 
 import json
 import signal
