Compose reports to peers in one place

A question to a peer and the answer to one chose their summaries in two pieces of code; _report_for serves both. Also removed: a conversion of a feed to what it is already.

--- a/kingcupvane/process/reporting.py
+++ b/kingcupvane/process/reporting.py
@@ -136,7 +136,9 @@
         match message:
             case GatewayReport():
                 self._hear(message)
-                return self._report_to(message.record, alone=message.alone)
+                return self._report_for(
+                    near=self._is_near(message.record), alone=message.alone
+                )
             case MirrorRequest():
                 return self._feed.changes_since(message)
             case EvidenceRequest(services=services):
@@ -154,24 +156,21 @@
         """Has the data centre told at once what this gateway learned."""
         self._news.set()
 
-    def _report_to(
-        self, receiver: GatewayRecord, *, alone: bool
-    ) -> GatewayReport:
+    def _report_for(self, *, near: bool, alone: bool = False) -> GatewayReport:
         """Returns a report with the summaries that concern its receiver.
 
         Args:
-            receiver: Who gets it.
+            near: Whether the receiver is of the own data centre.
             alone: Whether the receiver knows nobody else.
         """
-        own = self._peers.own
-        near = receiver.data_centre == own.data_centre
-        report = self._own_report(near=near)
         summaries = []
         if alone or near:
             summaries = self._heard_summaries(first_hand=not alone)
         if alone or not near:
             summaries.append(self._own_summary())
-        return msgspec.structs.replace(report, summaries=summaries)
+        return msgspec.structs.replace(
+            self._own_report(near=near), summaries=summaries
+        )
 
     def _own_report(self, *, near: bool) -> GatewayReport:
         now = self._clock.now()
@@ -194,6 +193,9 @@
             alone=self._peers.is_alone(now),
         )
 
+    def _is_near(self, record: GatewayRecord) -> bool:
+        return record.data_centre == self._peers.own.data_centre
+
     def _heard_summaries(self, *, first_hand: bool) -> list[DataCentreSummary]:
         """Returns the summaries of other data centres.
 
@@ -220,7 +222,7 @@
             return
         if self._peers.hear(report, now):
             self._timeline.record("gateway-live", name=sender.name)
-        if sender.data_centre == self._peers.own.data_centre:
+        if self._is_near(sender):
             self._quota.hear(
                 sender.name,
                 report.use,
@@ -346,15 +348,9 @@
             self._talks.start_soon(partial(self._talk, address, near=near))
 
     async def _talk(self, address: str, *, near: bool) -> None:
-        report = self._own_report(near=near)
-        if near:
-            summaries = self._heard_summaries(first_hand=True)
-        else:
-            summaries = [self._own_summary()]
+        report = self._report_for(near=near)
         try:
-            reply = await self._client.ask(
-                address, msgspec.structs.replace(report, summaries=summaries)
-            )
+            reply = await self._client.ask(address, report)
         finally:
             self._asked.discard(address)
         if isinstance(reply, Err):
--- a/kingcupvane/process/summary.py
+++ b/kingcupvane/process/summary.py
@@ -5,7 +5,6 @@
 
 from kingcupvane.connection.messages import (
     DataCentreSummary,
-    Feed,
     GatewayReport,
     MemberStatus,
     Stamp,
@@ -118,5 +117,5 @@
         peer_address=record.peer_address,
         link_mbps=record.link_mbps,
         ready=report.ready,
-        feed=Feed(report.feed),
+        feed=report.feed,
     )
