Count and tell how late the process gets to what is due

Callers of the Guild's site saw GONE; hypotheses 1a (connections wait to be accepted) and 1b (rounds of the scheduler take seconds) look alike in the logs. The lateness of the ten ticks a second is now a histogram, and its worst value is told once a second as event=process-behind. No decision depends on it.

--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -2,6 +2,7 @@
 
 import signal
 from collections.abc import Callable
+from functools import partial
 from typing import Protocol
 
 import hypercorn.config
@@ -241,7 +242,11 @@
         )
 
     def _make_steering(self) -> None:
-        self._wakeup = WakeupWatch(clock=self._clock)
+        self._wakeup = WakeupWatch(
+            clock=self._clock,
+            observe=partial(self._metrics.lateness_seconds.observe, {}),
+            tell=self._timeline.record,
+        )
         self._budgets = RetryBudgets(make=self._make_budget)
         selector = TargetSelector(
             catalog=self._catalog,
--- a/kingcupvane/process/metrics.py
+++ b/kingcupvane/process/metrics.py
@@ -89,6 +89,10 @@
         self.active = self._gauge(
             "kingcupvane_requests_active", "Requests in the gateway now."
         )
+        self.lateness_seconds = self._seconds(
+            "kingcupvane_scheduler_lateness_seconds",
+            "How late the process gets to what is due, ten times a second.",
+        )
         self.plan_number = self._gauge(
             "kingcupvane_plan_number", "Version of the plan in force."
         )
--- a/kingcupvane/process/wakeup.py
+++ b/kingcupvane/process/wakeup.py
@@ -5,9 +5,11 @@
 a request should first let the ends be read.
 """
 
+from collections.abc import Callable
+
 import trio
 
-from kingcupvane.clock import Clock
+from kingcupvane.clock import MILLISECONDS_PER_SECOND, Clock
 
 TICK_S = 0.1
 # Lateness of a tick from which the process counts as having stood still, in s.
@@ -22,18 +24,34 @@
 DEPARTURE_S = 0.03
 # Time for which care is needed after that, in seconds.
 CARE_S = 0.3
+# Lateness that is worth a line in the log, in seconds.
+TOLD_S = 0.05
+# Least time between two such lines, in seconds.
+TELL_PERIOD_S = 1.0
 
 
 class WakeupWatch:
     """Knows whether the process has just gone on after standing still."""
 
-    def __init__(self, *, clock: Clock):
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        observe: Callable[[float], None],
+        tell: Callable[..., None],
+    ):
         """Starts as if it ran all the while.
 
         Args:
             clock: Monotonic clock that counts suspension.
+            observe: Takes the lateness of each tick, in seconds.
+            tell: Takes a kind of event and its fields for the log.
         """
         self._clock = clock
+        self._observe = observe
+        self._tell = tell
+        self._worst_s = 0.0
+        self._told_at = float("-inf")
         self._ticked_at = clock.now()
         self._woke_at = float("-inf")
         self._behind_at = float("-inf")
@@ -41,14 +59,27 @@
     def tick(self) -> bool:
         """Notes that the process runs; returns whether it stood still."""
         now = self._clock.now()
-        stood_still = now - self._ticked_at > TICK_S + STILL_S
+        late_s = max(0.0, now - self._ticked_at - TICK_S)
+        stood_still = late_s > STILL_S
         if stood_still:
             self._woke_at = now
-        if now - self._ticked_at > TICK_S + BEHIND_S:
+        if late_s > BEHIND_S:
             self._behind_at = now
         self._ticked_at = now
+        self._note(late_s, now)
         return stood_still
 
+    def _note(self, late_s: float, now: float) -> None:
+        """Counts how late a tick was, and tells the worst of each second."""
+        self._observe(late_s)
+        self._worst_s = max(self._worst_s, late_s)
+        if self._worst_s < TOLD_S or now - self._told_at < TELL_PERIOD_S:
+            return
+        worst_ms = round(self._worst_s * MILLISECONDS_PER_SECOND)
+        self._tell("process-behind", worst_ms=worst_ms)
+        self._told_at = now
+        self._worst_s = 0.0
+
     def has_just_woken(self) -> bool:
         """Returns whether ends of connections may lie unread."""
         now = self._clock.now()
--- a/kingcupvane/tests/test_steering.py
+++ b/kingcupvane/tests/test_steering.py
@@ -146,7 +146,11 @@
             crashes=self.crashes,
             evidence=EvidenceCounter(),
             metrics=self.metrics,
-            wakeup=WakeupWatch(clock=clock),
+            wakeup=WakeupWatch(
+                clock=clock,
+                observe=lambda late_s: None,
+                tell=timeline.record,
+            ),
             names=NAMES,
             clock=clock,
             tell=timeline.record,
--- a/kingcupvane/tests/test_wakeup.py
+++ b/kingcupvane/tests/test_wakeup.py
@@ -2,6 +2,7 @@
 
 import socket
 
+import pytest
 import trio
 import trio.testing
 
@@ -9,8 +10,27 @@
 from kingcupvane.process.wakeup import BEHIND_S, CARE_S, TICK_S, WakeupWatch
 
 
+def make_watch(clock, observe=lambda late_s: None, tell=lambda *a, **f: None):
+    return WakeupWatch(clock=clock, observe=observe, tell=tell)
+
+
+def test_lateness_is_counted_and_its_worst_told_once_a_second(clock):
+    seen, told = [], []
+    watch = make_watch(
+        clock, seen.append, lambda kind, **fields: told.append((kind, fields))
+    )
+    for late_s in (0.2, 0.4, *[0.0] * 12):
+        clock.advance(TICK_S + late_s)
+        watch.tick()
+    assert seen == pytest.approx([0.2, 0.4, *[0.0] * 12], abs=1e-9)
+    assert told == [
+        ("process-behind", {"worst_ms": 200}),
+        ("process-behind", {"worst_ms": 400}),
+    ]
+
+
 def test_suspension_is_noticed_before_and_after_the_next_tick(clock):
-    watch = WakeupWatch(clock=clock)
+    watch = make_watch(clock)
     for _ in range(20):
         clock.advance(TICK_S)
         assert not watch.tick()
@@ -24,7 +44,7 @@
 
 
 def test_lateness_is_noticed_and_forgotten(clock):
-    watch = WakeupWatch(clock=clock)
+    watch = make_watch(clock)
     clock.advance(TICK_S + BEHIND_S / 2)
     watch.tick()
     assert not watch.is_behind()
@@ -41,7 +61,7 @@
 
 def test_request_of_a_caller_that_left_is_not_acted_on_when_behind(clock):
     """The request and the end of its connection lie ready together."""
-    watch = WakeupWatch(clock=clock)
+    watch = make_watch(clock)
     clock.advance(TICK_S + 2 * BEHIND_S)
     acted = []
 
