--- /dev/null
+++ b/kingcupvane/tests/test_callers_gone.py
@@ -0,0 +1,147 @@
+"""Tests that targets do no work for callers that have left."""
+
+import contextlib
+import socket
+import time
+
+import pytest
+import trio
+
+from kingcupvane.platform.names import NAMES
+from kingcupvane.tests.test_exchange import Script, read_request
+from kingcupvane.tests.test_platform_gateway import World, answer_echo, config
+
+# Time after a caller's end at which its request must not be worked on, in s.
+GONE_S = 0.5
+# What a round of the scheduler takes where the process is busy, in seconds.
+ROUND_S = 0.008
+CALLERS = 100
+
+
+class RecordingTarget:
+    """A target that keeps the paths of what reaches it.
+
+    Paths with the word "held" are worked on until the connection ends.
+    """
+
+    def __init__(self):
+        """Starts without requests."""
+        self.paths = []
+        self.ended_at = []
+
+    async def answer(self, stream):
+        """Answers each request, those that are held never."""
+        while True:
+            data = await read_request(stream)
+            if not data:
+                return
+            path = data.split(b" ", 2)[1].decode()
+            self.paths.append(path)
+            if "held" in path:
+                await self._hold(stream)
+                return
+            await answer_echo(Replayed(stream=stream, data=data))
+
+    async def _hold(self, stream):
+        with contextlib.suppress(trio.BrokenResourceError):
+            await stream.receive_some(1)
+        self.ended_at.append(time.monotonic())
+
+
+class Replayed:
+    """A stream of which one request has been read already."""
+
+    def __init__(self, *, stream, data):
+        """Gives `data` back before anything else."""
+        self._stream = stream
+        self._data = [data]
+
+    async def receive_some(self, size=None):
+        return self._data.pop() if self._data else b""
+
+    async def send_all(self, data):
+        await self._stream.send_all(data)
+
+
+def request(path):
+    return (
+        b"GET %s HTTP/1.1\r\nhost: h.example\r\n%s: id\r\n%s: 2000\r\n"
+        b"authorization: Token k1\r\n\r\n"
+        % (path.encode(), NAMES.attempt, NAMES.deadline)
+    )
+
+
+def open_caller(world, path):
+    host, _, port = world.settings.caller_address.rpartition(":")
+    caller = socket.create_connection((host, int(port)))
+    caller.sendall(request(path))
+    return caller
+
+
+async def keep_busy():
+    """Makes each round of the scheduler take time."""
+    while True:
+        time.sleep(ROUND_S)
+        await trio.lowlevel.checkpoint()
+
+
+async def start(world):
+    world.store.put("op/config", config(1))
+    await world.until(world.is_ready)
+    assert (await world.ask("/r/first"))[0] == 200
+
+
+@pytest.fixture
+def target():
+    return RecordingTarget()
+
+
+@pytest.fixture
+def world(target):
+    world = World()
+    world.target = Script(target.answer)
+    return world
+
+
+def test_request_whose_caller_left_before_it_was_read_is_not_sent(
+    world, target
+):
+    async def use(world):
+        await start(world)
+        for number in range(CALLERS):
+            open_caller(world, f"/r/gone-{number}").close()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(keep_busy)
+            assert (await world.ask("/r/last"))[0] == 200
+            nursery.cancel_scope.cancel()
+        assert [path for path in target.paths if "gone" in path] == []
+
+    world.play(use)
+
+
+def test_work_ends_when_its_caller_leaves_a_busy_gateway(world, target):
+    async def use(world):
+        await start(world)
+        held = [open_caller(world, f"/r/held-{n}") for n in range(3)]
+        await world.until(lambda: have_come(target, 1 + len(held)))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(keep_busy)
+            others = [
+                open_caller(world, f"/r/other-{n}") for n in range(CALLERS)
+            ]
+            left_at = time.monotonic()
+            for caller in [*held, *others]:
+                caller.close()
+            await world.until(lambda: have_ended(target, len(held)))
+            nursery.cancel_scope.cancel()
+        assert max(target.ended_at) - left_at < GONE_S
+
+    world.play(use)
+
+
+async def have_come(target, count):
+    return len(target.paths) >= count
+
+
+async def have_ended(target, count):
+    return len(target.ended_at) >= count
