Send no request whose caller has closed its connection; ask the kernel

Cause: connections waited in the kernel to be accepted. hypercorn accepts one in each round of the scheduler, some 100 a second in a busy gateway, and 1,000 fit in the queue; refused callers come on new connections. Request and end of connection lay there together, and the gateway acted on the request without asking whether the end had come. The mends before let rounds of the scheduler or 30 ms pass, in the hope that the end was read by then. Ruled out: delivery late (attempts lasted 20 ms, not seconds), an end that was read and not acted on (the same), rounds of seconds. Fix: callers are served with h11 on a socket that the project owns. A request asks the kernel for the end of its caller's connection before it is admitted and right before it is sent, with nothing in between that yields. All waiting connections are taken at one look, 32 at most.

--- a/kingcupvane/connection/caller.py
+++ b/kingcupvane/connection/caller.py
@@ -8,6 +8,7 @@
 
 from kingcupvane import asgi, problem
 from kingcupvane.clock import Clock
+from kingcupvane.connection import listener
 from kingcupvane.errors import Refusal, Step
 from kingcupvane.process.membership import Membership
 from kingcupvane.process.metrics import Metrics
@@ -63,7 +64,7 @@
     async def run(self, stop: trio.Event) -> None:
         """Serves until `stop` is set and all requests have ended."""
         tls = self._settings.tls
-        await asgi.serve(
+        await listener.serve(
             self.handle,
             address=self._settings.caller_address,
             stop=stop,
--- /dev/null
+++ b/kingcupvane/connection/conversation.py
@@ -0,0 +1,339 @@
+"""HTTP/1.1 with one caller, request after request on its connection.
+
+hypercorn reads a connection through two queues and keeps its socket to itself:
+the end of a connection reaches a request late, and nobody can ask for it. So
+this module drives h11, the parser below hypercorn.
+"""
+
+import select
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import unquote
+
+import h11
+import trio
+from loguru import logger
+
+from kingcupvane import asgi
+from kingcupvane.connection.exchange import RECEIVE_BYTES, abort
+
+# Largest head of a request, in bytes.
+HEAD_MAX_BYTES = 65536
+# Time that a caller's connection may stay idle by default, in seconds.
+KEEP_ALIVE_S = 75.0
+# Time that a connection taken during a stop may stay idle, in seconds.
+STOP_IDLE_S = 0.3
+# Time for the rest of a body whose request has its answer, in seconds.
+DRAIN_S = 1.0
+# Period of asking whether a caller that sent its next request early has left.
+EARLY_POLL_S = 0.05
+HANDSHAKE_S = 10.0
+NO_BODY_STATUSES = (204, 304)
+BAD_REQUEST = 400
+INTERNAL_ERROR = 500
+DISCONNECT = {"type": "http.disconnect"}
+
+
+@dataclass(kw_only=True, slots=True)
+class ServerState:
+    """What the conversations of one server share.
+
+    Attributes:
+        stop: Set when the server takes no more requests.
+        keep_alive_s: Time that a connection may stay idle, in seconds.
+        accepted: Connections taken since the start.
+        taken_at_once: Connections that the last look at the queue of new
+            ones took.
+        idle: Scopes of the conversations that wait for a request.
+    """
+
+    stop: trio.Event = field(default_factory=trio.Event)
+    keep_alive_s: float = KEEP_ALIVE_S
+    accepted: int = 0
+    taken_at_once: int = 0
+    idle: set[trio.CancelScope] = field(default_factory=set)
+
+
+class Conversation:
+    """Reads requests from one connection and writes their answers."""
+
+    def __init__(
+        self,
+        *,
+        stream: trio.SocketStream | trio.SSLStream,
+        transport: trio.SocketStream,
+        handler: asgi.Handler,
+        state: ServerState,
+        peer: str,
+    ):
+        """Makes a conversation; `run` holds it.
+
+        Args:
+            stream: Carries the bytes of HTTP.
+            transport: The TCP stream below it, or the same.
+            handler: Called for each request.
+            state: What all conversations of the server share.
+            peer: Address of the caller, as host and port.
+        """
+        self._stream = stream
+        self._transport = transport
+        self._handler = handler
+        self._state = state
+        self._peer = peer
+        self._parser = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=HEAD_MAX_BYTES
+        )
+        self._ends = _poll_of(transport, select.POLLRDHUP)
+        self._head: h11.Request | None = None
+        self._start: dict[str, Any] | None = None
+        self._status = 0
+        self._begun = False
+        self._answered = False
+        self._lost = False
+
+    def has_left(self) -> bool:
+        """Returns whether the caller's end of the connection is closed.
+
+        The kernel is asked, so that an end counts that nobody has read yet.
+        """
+        if self._lost or self._transport.socket.fileno() < 0:
+            return True
+        return bool(self._ends.poll(0))
+
+    async def run(self) -> None:
+        """Serves requests until either side closes."""
+        try:
+            if self._stream is not self._transport:
+                with trio.fail_after(HANDSHAKE_S):
+                    await self._stream.do_handshake()
+            while await self._serve_next():
+                pass
+        except (
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            trio.TooSlowError,
+        ) as error:
+            logger.debug(
+                "event=caller-connection-broken peer={} why={}",
+                self._peer,
+                error,
+            )
+        finally:
+            await self._stream.aclose()
+
+    async def _serve_next(self) -> bool:
+        """Serves one request; returns whether another one may follow."""
+        try:
+            head = await self._read_head()
+        except h11.RemoteProtocolError as error:
+            await self._answer_empty(error.error_status_hint or BAD_REQUEST)
+            await self._discard()
+            return False
+        if head is None:
+            return False
+        self._head = head
+        self._start = None
+        self._begun = False
+        self._answered = False
+        await self._handle(head)
+        if not self._answered:
+            await self._end_unanswered()
+            return False
+        return await self._recycle()
+
+    async def _handle(self, head: h11.Request) -> None:
+        try:
+            await self._handler(self._request(head), self._send)
+        except Exception as error:
+            if self._lost:
+                return  # The caller's end interrupted the answer.
+            logger.opt(exception=error).error(
+                "event=request-crashed peer={} path={}",
+                self._peer,
+                head.target.decode("latin-1"),
+            )
+
+    async def _end_unanswered(self) -> None:
+        if self._begun:
+            # A reset: an answer that is cut must not look whole.
+            await abort(self._transport)
+        elif not self.has_left():
+            await self._answer_empty(INTERNAL_ERROR)
+
+    async def _recycle(self) -> bool:
+        """Makes ready for a next request; returns whether one may come."""
+        parser = self._parser
+        if parser.their_state is h11.SEND_BODY and not await self._drain():
+            return False
+        if self._state.stop.is_set():
+            return False
+        if parser.our_state is h11.DONE and parser.their_state is h11.DONE:
+            parser.start_next_cycle()
+            return True
+        return False
+
+    async def _drain(self) -> bool:
+        """Reads the rest of a body; returns whether it came whole.
+
+        A close with unread bytes would reset the connection, and the answer
+        might be lost with it.
+        """
+        if self._parser.they_are_waiting_for_100_continue:
+            return False
+        with trio.move_on_after(DRAIN_S):
+            while True:
+                message = await self._receive()
+                if message is DISCONNECT:
+                    return False
+                if not message["more_body"]:
+                    return True
+        return False
+
+    async def _discard(self) -> None:
+        """Lets the caller read the last answer before the connection ends."""
+        with trio.move_on_after(DRAIN_S):
+            await self._transport.send_eof()
+            while await self._transport.receive_some(RECEIVE_BYTES):
+                pass
+
+    async def _read_head(self) -> h11.Request | None:
+        """Returns the next request, None when none comes."""
+        state = self._state
+        idle_s = STOP_IDLE_S if state.stop.is_set() else state.keep_alive_s
+        deadline = trio.current_time() + idle_s
+        if not self._parser.trailing_data[0]:
+            first = await self._first_bytes(deadline)
+            if first is not None:
+                self._parser.receive_data(first)
+            elif not _poll_of(self._transport, select.POLLIN).poll(0):
+                return None
+        with trio.CancelScope(deadline=deadline):
+            event = await self._next_event()
+            if isinstance(event, h11.Request):
+                return event
+        return None
+
+    async def _first_bytes(self, deadline: float) -> bytes | None:
+        """Returns what arrives; None when the time is up or the server stops.
+
+        Both may come together with bytes, which then are still to be read.
+        """
+        idle = self._state.idle
+        with trio.CancelScope(deadline=deadline) as scope:
+            idle.add(scope)
+            try:
+                return bytes(await self._stream.receive_some(RECEIVE_BYTES))
+            finally:
+                idle.discard(scope)
+        return None
+
+    async def _next_event(self) -> Any:
+        parser = self._parser
+        while True:
+            event = parser.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            data = await self._stream.receive_some(RECEIVE_BYTES)
+            parser.receive_data(bytes(data))
+
+    async def _receive(self) -> dict[str, Any]:
+        """Returns a part of the body, or after its end that of the caller."""
+        parser = self._parser
+        if parser.their_state is not h11.SEND_BODY:
+            await self._wait_until_left()
+            return DISCONNECT
+        try:
+            if parser.they_are_waiting_for_100_continue:
+                await self._write(
+                    parser.send(
+                        h11.InformationalResponse(status_code=100, headers=[])
+                    )
+                )
+            event = await self._next_event()
+        except (h11.RemoteProtocolError, trio.BrokenResourceError) as error:
+            self._lost = True
+            logger.debug("event=request-cut peer={} why={}", self._peer, error)
+            return DISCONNECT
+        if isinstance(event, h11.Data):
+            body = bytes(event.data)
+            return {"type": "http.request", "body": body, "more_body": True}
+        return {"type": "http.request", "body": b"", "more_body": False}
+
+    async def _wait_until_left(self) -> None:
+        while not self.has_left():
+            await trio.lowlevel.wait_readable(self._transport.socket)
+            if not self.has_left():
+                await trio.sleep(EARLY_POLL_S)
+
+    async def _send(self, message: dict[str, Any]) -> None:
+        """Takes a part of the answer; its head waits for the first body."""
+        if message["type"] == "http.response.start":
+            self._start = message
+            return
+        parser = self._parser
+        parts = []
+        if self._start is not None:
+            parts.append(parser.send(self._response(self._start)))
+            self._start = None
+        body = message.get("body", b"")
+        if body and self._may_have_body():
+            parts.append(parser.send(h11.Data(data=body)))
+        last = not message.get("more_body", False)
+        if last:
+            parts.append(parser.send(h11.EndOfMessage()))
+        self._begun = True
+        await self._write(b"".join(part for part in parts if part))
+        self._answered = last
+
+    def _response(self, start: dict[str, Any]) -> h11.Response:
+        headers = list(start.get("headers", []))
+        if self._state.stop.is_set():
+            headers.append((b"connection", b"close"))
+        self._status = int(start["status"])
+        return h11.Response(status_code=self._status, headers=headers)
+
+    def _may_have_body(self) -> bool:
+        head = self._head
+        is_head = head is not None and head.method == b"HEAD"
+        return not is_head and self._status not in NO_BODY_STATUSES
+
+    async def _answer_empty(self, status: int) -> None:
+        """Answers without a body and lets the connection end."""
+        if self._parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        headers = [(b"content-length", b"0"), (b"connection", b"close")]
+        head = self._parser.send(
+            h11.Response(status_code=status, headers=headers)
+        )
+        await self._write(head + (self._parser.send(h11.EndOfMessage()) or b""))
+
+    async def _write(self, data: bytes) -> None:
+        try:
+            await self._stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            self._lost = True
+            raise asgi.CallerGoneError from error
+
+    def _request(self, head: h11.Request) -> asgi.HttpRequest:
+        path, _, query = head.target.partition(b"?")
+        pairs = [(bytes(name), bytes(value)) for name, value in head.headers]
+        return asgi.HttpRequest(
+            method=head.method.decode("ascii").upper(),
+            path=unquote(path.decode("latin-1")),
+            query=query.decode("latin-1"),
+            headers={
+                name.decode("latin-1"): value.decode("latin-1")
+                for name, value in pairs
+            },
+            receive=self._receive,
+            connection=self._peer,
+            target=bytes(head.target),
+            header_pairs=pairs,
+            has_left=self.has_left,
+        )
+
+
+def _poll_of(stream: trio.SocketStream, events: int) -> select.poll:
+    poll = select.poll()
+    poll.register(stream.socket.fileno(), events)
+    return poll
--- a/kingcupvane/connection/endpoints.py
+++ b/kingcupvane/connection/endpoints.py
@@ -8,6 +8,7 @@
 
 from kingcupvane import asgi
 from kingcupvane.clock import Clock
+from kingcupvane.connection import listener
 from kingcupvane.process.metrics import METRICS_PATH, TEXT_TYPE, MetricSet
 from kingcupvane.process.peering import PeerTable, entries_for
 from kingcupvane.request.passage import WireNames
@@ -49,7 +50,7 @@
 
     async def serve_readiness(self) -> None:
         """Serves the readiness check until stopped."""
-        await asgi.serve(
+        await listener.serve(
             self._answer_readiness,
             address=self._settings.readiness_address,
             stop=self._stop,
@@ -57,7 +58,7 @@
 
     async def serve_lookups(self) -> None:
         """Serves look-ups until stopped."""
-        await asgi.serve(
+        await listener.serve(
             self._answer_lookup,
             address=self._settings.lookup_address,
             stop=self._stop,
@@ -66,7 +67,9 @@
     async def serve_metrics(self) -> None:
         """Serves the metrics until stopped."""
         address = f"{self._settings.ip}:{self._settings.metrics_port}"
-        await asgi.serve(self._answer_metrics, address=address, stop=self._stop)
+        await listener.serve(
+            self._answer_metrics, address=address, stop=self._stop
+        )
 
     async def _answer_readiness(
         self, request: asgi.HttpRequest, send: asgi.Send
--- a/kingcupvane/connection/exchange.py
+++ b/kingcupvane/connection/exchange.py
@@ -2,7 +2,7 @@
 
 httpcore keeps bytes that follow a whole answer and would take them for the
 next one, and it reads no answer before the whole body is sent. So this module
-drives h11, the parser below httpcore and hypercorn, and closes a connection
+drives h11, the parser below httpcore, and closes a connection
 whenever anything but one whole answer came over it.
 """
 
--- a/kingcupvane/process/entry.py
+++ b/kingcupvane/process/entry.py
@@ -8,6 +8,7 @@
 
 from kingcupvane import asgi
 from kingcupvane.clock import MILLISECONDS_PER_SECOND, Clock, SystemClock
+from kingcupvane.connection import listener
 from kingcupvane.connection.caller import CallerServer
 from kingcupvane.connection.messages import FrameCodec
 from kingcupvane.connection.peer import PeerClient, PeerServer
@@ -418,7 +419,7 @@
         )
 
     async def _serve_metrics(self) -> None:
-        await asgi.serve(
+        await listener.serve(
             self._answer_metrics,
             address=self._settings.metrics_address,
             stop=self._stop,
--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -5,12 +5,12 @@
 from functools import partial
 from typing import Protocol
 
-import hypercorn.config
 import msgspec
 import trio
 
-from kingcupvane import asgi
 from kingcupvane.clock import MILLISECONDS_PER_SECOND, Clock, SystemClock
+from kingcupvane.connection import listener
+from kingcupvane.connection.conversation import ServerState
 from kingcupvane.connection.endpoints import Endpoints
 from kingcupvane.connection.exchange import (
     ConnectFailedError,
@@ -29,6 +29,7 @@
 from kingcupvane.process.evidence import EvidenceCounter
 from kingcupvane.process.feed import LEASE_CONTACTS, Registration, StoreFeed
 from kingcupvane.process.item import Item
+from kingcupvane.process.lateness import LatenessMeter
 from kingcupvane.process.logs import LogBuffer, RequestLog
 from kingcupvane.process.metrics import GatewayMetrics
 from kingcupvane.process.mirror import Mirror
@@ -39,7 +40,6 @@
 from kingcupvane.process.store import Store
 from kingcupvane.process.supervisor import supervise
 from kingcupvane.process.timeline import HybridClock, Timeline
-from kingcupvane.process.wakeup import WakeupWatch
 from kingcupvane.request.passage import Suspicion, WireNames
 from kingcupvane.request.placement import Place
 from kingcupvane.request.quota import QuotaDivision
@@ -106,7 +106,7 @@
         self._reload = reload
         self._store = store
         self._names = names
-        self._caller_config = hypercorn.config.Config()
+        self._caller_server = ServerState()
         self._registry = registry
         self._clock = clock or SystemClock()
         self._hybrid = HybridClock(clock=self._clock)
@@ -242,7 +242,7 @@
         )
 
     def _make_steering(self) -> None:
-        self._wakeup = WakeupWatch(
+        self._lateness = LatenessMeter(
             clock=self._clock,
             observe=partial(self._metrics.lateness_seconds.observe, {}),
             tell=self._timeline.record,
@@ -260,7 +260,6 @@
             crashes=self._crashes,
             evidence=self._evidence,
             metrics=self._metrics,
-            wakeup=self._wakeup,
             names=self._names,
             clock=self._clock,
             tell=self._timeline.record,
@@ -306,7 +305,7 @@
                 ("registration", self._registration.run),
                 ("report", self._reporter.run),
                 ("upkeep", self._upkeep),
-                ("wakeup", self._wakeup.run),
+                ("lateness", self._lateness.run),
                 ("rollouts", self._rollout_task.run),
                 ("suspicions", self._check_suspicions),
                 ("peers", self._serve_peers),
@@ -322,11 +321,11 @@
         self._timeline.record("stopped")
 
     async def _serve_callers(self) -> None:
-        await asgi.serve(
+        await listener.serve(
             self._steering.handle,
             address=self._settings.caller_address,
             stop=self._stop_callers,
-            config=self._caller_config,
+            state=self._caller_server,
         )
 
     def _is_ready(self) -> bool:
@@ -380,7 +379,7 @@
             self._quota.refresh(
                 self._catalog.plan.accounts_by_name.values(), now
             )
-            self._caller_config.keep_alive_timeout = (
+            self._caller_server.keep_alive_s = (
                 self._catalog.plan.limits.idle_timeout_s
             )
             if now - swept_at > SWEEP_PERIOD_S:
@@ -398,6 +397,8 @@
         metrics.plan_age.set({}, round(now - self._feed.confirmed_at, 3))
         metrics.gateways.set({}, len(self._peers.live_names(now)))
         metrics.connections_opened.set({}, self._pool.opened)
+        metrics.connections_accepted.set({}, self._caller_server.accepted)
+        metrics.connections_waiting.set({}, self._caller_server.taken_at_once)
         for operation, count in self._store.calls.items():
             metrics.store_calls.set({"operation": operation}, count)
         for service, count in self._catalog.target_counts().items():
--- /dev/null
+++ b/kingcupvane/process/lateness.py
@@ -0,0 +1,58 @@
+"""Measures how late the process gets to what is due."""
+
+from collections.abc import Callable
+
+import trio
+
+from kingcupvane.clock import MILLISECONDS_PER_SECOND, Clock
+
+TICK_S = 0.1
+# Lateness that is worth a line in the log, in seconds.
+TOLD_S = 0.05
+# Least time between two such lines, in seconds.
+TELL_PERIOD_S = 1.0
+
+
+class LatenessMeter:
+    """Ticks, and tells how late the ticks come."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        observe: Callable[[float], None],
+        tell: Callable[..., None],
+    ):
+        """Starts as if it ran all the while.
+
+        Args:
+            clock: Monotonic clock that counts suspension.
+            observe: Takes the lateness of each tick, in seconds.
+            tell: Takes a kind of event and its fields for the log.
+        """
+        self._clock = clock
+        self._observe = observe
+        self._tell = tell
+        self._worst_s = 0.0
+        self._told_at = float("-inf")
+        self._ticked_at = clock.now()
+
+    def tick(self) -> None:
+        """Counts how late it comes, and tells the worst of each second."""
+        now = self._clock.now()
+        late_s = max(0.0, now - self._ticked_at - TICK_S)
+        self._ticked_at = now
+        self._observe(late_s)
+        self._worst_s = max(self._worst_s, late_s)
+        if self._worst_s < TOLD_S or now - self._told_at < TELL_PERIOD_S:
+            return
+        worst_ms = round(self._worst_s * MILLISECONDS_PER_SECOND)
+        self._tell("process-behind", worst_ms=worst_ms)
+        self._told_at = now
+        self._worst_s = 0.0
+
+    async def run(self) -> None:
+        """Ticks until cancelled."""
+        while True:
+            self.tick()
+            await trio.sleep(TICK_S)
--- a/kingcupvane/process/metrics.py
+++ b/kingcupvane/process/metrics.py
@@ -121,6 +121,14 @@
             "kingcupvane_target_connections_opened",
             "Connections to targets opened since start.",
         )
+        self.connections_accepted = self._gauge(
+            "kingcupvane_caller_connections_accepted",
+            "Connections of callers taken since start.",
+        )
+        self.connections_waiting = self._gauge(
+            "kingcupvane_caller_connections_waiting",
+            "Connections of callers that waited at the last look, at most 32.",
+        )
         self.log_lines_left_out = self._gauge(
             "kingcupvane_log_lines_left_out", "Log lines left out since start."
         )
--- a/kingcupvane/request/sending.py
+++ b/kingcupvane/request/sending.py
@@ -18,7 +18,6 @@
 from kingcupvane.process.catalog import Catalog
 from kingcupvane.process.evidence import EvidenceCounter
 from kingcupvane.process.metrics import GatewayMetrics
-from kingcupvane.process.wakeup import WakeupWatch
 from kingcupvane.request.dispatch import Sample
 from kingcupvane.request.passage import (
     Attempt,
@@ -59,7 +58,6 @@
         crashes: CrashRegistry,
         evidence: EvidenceCounter,
         metrics: GatewayMetrics,
-        wakeup: WakeupWatch,
         names: WireNames,
         clock: Clock,
         tell: Callable[..., None],
@@ -74,7 +72,6 @@
             crashes: Requests that crash targets.
             evidence: Counts what versions do.
             metrics: Counts exchanges.
-            wakeup: Knows whether the process stood still.
             names: Names on the wire.
             clock: Monotonic clock.
             tell: Takes a kind of event and its fields for the log.
@@ -87,7 +84,6 @@
         self._crashes = crashes
         self._evidence = evidence
         self._metrics = metrics
-        self._wakeup = wakeup
         self._names = names
         self._clock = clock
         self._tell = tell
@@ -195,7 +191,6 @@
 
     async def _exchange(self, passage: Passage, view: TargetView) -> Attempt:
         target = view.target
-        await self._wakeup.let_departures_in()
         started = self._clock.now()
         try:
             connection = await self._pool.acquire(
@@ -211,6 +206,13 @@
             return Attempt(
                 ending=Ending.TIMEOUT, not_run=True, detail="no time is left"
             )
+        if passage.request.has_left():
+            await self._pool.release(target.name, connection)
+            return Attempt(
+                ending=Ending.CANCELLED,
+                not_run=True,
+                detail="the caller has left",
+            )
         passage.runs += 1
         answer: WireAnswer | None = None
         whole = False
--- a/kingcupvane/request/steering.py
+++ b/kingcupvane/request/steering.py
@@ -170,6 +170,8 @@
                     Step.READ,
                 )
             )
+        if passage.request.has_left():
+            raise asgi.CallerGoneError
         admitted = self._admit(passage)
         if isinstance(admitted, Err):
             return admitted
@@ -220,8 +222,13 @@
         self._catalog.count_request(passage.service)
         return Ok(None)
 
-    async def _serve(self, passage: Passage) -> Result[WireAnswer, Refusal]:
-        """Sends the request until it has a final answer."""
+    async def _serve(
+        self, passage: Passage
+    ) -> Result[WireAnswer, Refusal] | None:
+        """Sends the request until it has a final answer.
+
+        Returns None when its caller has left.
+        """
         last: Attempt | None = None
         while True:
             now = self._clock.now()
@@ -244,6 +251,8 @@
             if last is not None and not self._may_repeat(passage, last):
                 return self._settle(passage, last)
             last = await self._sender.send(passage, candidate)
+            if last.ending is Ending.CANCELLED:
+                return None
             if last.ending is Ending.ANSWERED:
                 return self._settle(passage, last)
             if not self._is_worth_repeating(passage, last):
--- a/kingcupvane/standin/store.py
+++ b/kingcupvane/standin/store.py
@@ -12,6 +12,7 @@
 
 from kingcupvane import asgi
 from kingcupvane.clock import Clock, SystemClock
+from kingcupvane.connection import listener
 from kingcupvane.process.store import (
     CONFLICT,
     NOT_FOUND,
@@ -176,7 +177,7 @@
         """Serves until `stop` is set."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._sweep)
-            await asgi.serve(
+            await listener.serve(
                 self.handle, address=self._settings.address, stop=stop
             )
             nursery.cancel_scope.cancel()
--- a/kingcupvane/standin/target.py
+++ b/kingcupvane/standin/target.py
@@ -12,6 +12,7 @@
 
 from kingcupvane import asgi
 from kingcupvane.clock import SystemClock
+from kingcupvane.connection import listener
 from kingcupvane.settings import TargetStandinSettings
 
 BODY_MAX_BYTES = 64 * 1024 * 1024
@@ -99,7 +100,9 @@
 
     async def run(self, stop: trio.Event) -> None:
         """Serves until `stop` is set."""
-        await asgi.serve(self.handle, address=self._settings.address, stop=stop)
+        await listener.serve(
+            self.handle, address=self._settings.address, stop=stop
+        )
 
     async def handle(self, request: asgi.HttpRequest, send: asgi.Send) -> None:
         """Answers one request."""
--- a/kingcupvane/tests/test_asgi.py
+++ b/kingcupvane/tests/test_asgi.py
@@ -9,6 +9,7 @@
 import trustme
 
 from kingcupvane import asgi
+from kingcupvane.connection import listener
 from kingcupvane.standin.fleet import free_address
 
 
@@ -32,7 +33,7 @@
         stop = trio.Event()
 
         async def serve(task_status):
-            await asgi.serve(
+            await listener.serve(
                 echo,
                 address=address,
                 stop=stop,
--- a/kingcupvane/tests/test_platform_store.py
+++ b/kingcupvane/tests/test_platform_store.py
@@ -9,6 +9,7 @@
 from result import Err, Ok
 
 from kingcupvane import asgi
+from kingcupvane.connection import listener
 from kingcupvane.platform.store import PlatformStore
 from kingcupvane.process.item import Item
 from kingcupvane.process.store import Conflict, HistoryGone
@@ -42,7 +43,7 @@
                 stop.set()
 
     async def serve(handle, stop, task_status):
-        await asgi.serve(
+        await listener.serve(
             handle,
             address="127.0.0.1:0",
             stop=stop,
--- a/kingcupvane/tests/test_steering.py
+++ b/kingcupvane/tests/test_steering.py
@@ -20,7 +20,6 @@
 from kingcupvane.process.evidence import EvidenceCounter
 from kingcupvane.process.metrics import GatewayMetrics
 from kingcupvane.process.rollout import RolloutRegister
-from kingcupvane.process.wakeup import WakeupWatch
 from kingcupvane.request.passage import WireNames
 from kingcupvane.request.placement import Place
 from kingcupvane.request.quota import QuotaDivision
@@ -146,11 +145,6 @@
             crashes=self.crashes,
             evidence=EvidenceCounter(),
             metrics=self.metrics,
-            wakeup=WakeupWatch(
-                clock=clock,
-                observe=lambda late_s: None,
-                tell=timeline.record,
-            ),
             names=NAMES,
             clock=clock,
             tell=timeline.record,
@@ -185,7 +179,15 @@
     def register(self, registered):
         self.catalog.apply(TargetNews(name=registered.name, target=registered))
 
-    def ask(self, *, path="/r/x", body=b"", gone=False, **headers):
+    def ask(
+        self,
+        *,
+        path="/r/x",
+        body=b"",
+        gone=False,
+        has_left=lambda: False,
+        **headers,
+    ):
         """Sends one request; returns status, headers and body."""
         fields = {
             "host": "h.example",
@@ -216,6 +218,7 @@
             header_pairs=[
                 (key.encode(), value.encode()) for key, value in fields.items()
             ],
+            has_left=has_left,
         )
 
         async def main():
@@ -477,9 +480,20 @@
     assert 'ending="shed"' in text
 
 
-def test_after_standing_still_the_callers_end_is_read_first(make):
-    """A request that is read late, just before the end of its connection."""
-    gateway = make(answer())
-    gateway.clock.advance(1.5)
-    assert gateway.ask(gone=True) is None
+def test_caller_that_left_before_its_request_was_read_costs_nothing(make):
+    limited = account(rate=1.0, burst=2.0)
+    gateway = make(answer(), answer(), accounts=(limited,))
+    key = {"authorization": "Token secret"}
+    for _ in range(5):
+        assert gateway.ask(has_left=lambda: True, **key) is None
     assert gateway.pool.sent == []
+    assert gateway.lines[-1][2]["outcome"] == "caller-gone"
+    assert gateway.ask(**key)[0] == 200
+
+
+def test_caller_that_leaves_while_a_target_is_connected_reaches_none(make):
+    """Also after a refusal, before the next target gets the request."""
+    gateway = make(SHED, answer())
+    ends = iter([False, False, True])
+    assert gateway.ask(has_left=lambda: next(ends)) is None
+    assert len(gateway.pool.sent) == 1
