Run nothing at an entry for a caller that has left

Found by reading, not reported. The test failed for a read and for a booking before. A booking that is recorded runs to its end as before, since its outcome must be known. A watcher of a connection's end asks the kernel only when something arrives.

--- a/kingcupvane/asgi.py
+++ b/kingcupvane/asgi.py
@@ -22,7 +22,8 @@
     """The caller closed its connection before its exchange was whole."""
 
 
-def _never_leaves() -> bool:
+def never_left() -> bool:
+    """Says that a caller is there, where nobody can ask its connection."""
     return False
 
 
@@ -51,7 +52,7 @@
     connection: str = ""
     target: bytes = b""
     header_pairs: list[tuple[bytes, bytes]] = field(default_factory=list)
-    has_left: Callable[[], bool] = _never_leaves
+    has_left: Callable[[], bool] = never_left
 
     async def read_body(self, *, limit: int) -> bytes:
         """Reads the whole body.
--- a/kingcupvane/connection/conversation.py
+++ b/kingcupvane/connection/conversation.py
@@ -260,10 +260,11 @@
         return {"type": "http.request", "body": b"", "more_body": False}
 
     async def _wait_until_left(self) -> None:
-        while not self.has_left():
+        while True:
             await trio.lowlevel.wait_readable(self._transport.socket)
-            if not self.has_left():
-                await trio.sleep(EARLY_POLL_S)
+            if self.has_left():
+                return
+            await trio.sleep(EARLY_POLL_S)
 
     async def _send(self, message: dict[str, Any]) -> None:
         """Takes a part of the answer; its head waits for the first body."""
--- a/kingcupvane/request/context.py
+++ b/kingcupvane/request/context.py
@@ -1,7 +1,9 @@
 """What is known of one request while it is served."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
+from kingcupvane.asgi import never_left
 from kingcupvane.errors import Executed, Refusal, Step
 from kingcupvane.request.retry import SAFE_METHODS
 from kingcupvane.version.items import Route, Service
@@ -28,6 +30,7 @@
         fingerprint: Equal for repeats of this request.
         content_type: Media type of the body.
         accept: Media types that the caller takes.
+        has_left: Returns whether the caller has closed its connection.
     """
 
     service: Service
@@ -44,6 +47,7 @@
     fingerprint: str = ""
     content_type: str = ""
     accept: str = ""
+    has_left: Callable[[], bool] = never_left
 
     @property
     def is_safe(self) -> bool:
--- a/kingcupvane/request/dispatch.py
+++ b/kingcupvane/request/dispatch.py
@@ -146,6 +146,9 @@
             if isinstance(placed, Err):
                 return Err(refusal or placed.err_value)
             target = placed.ok_value
+            if context.has_left():
+                self.release(context, target)
+                return Err(refusals.caller_gone(context))
             result = await self.exchange(context, target, sink)
             if isinstance(result, Answer):
                 return Ok(result)
--- a/kingcupvane/request/handler.py
+++ b/kingcupvane/request/handler.py
@@ -163,6 +163,7 @@
                 deadline=started_at + timeout.ok_value,
                 content_type=headers.get("content-type", ""),
                 accept=headers.get("accept", ""),
+                has_left=request.has_left,
             )
         )
 
@@ -250,6 +251,8 @@
         context: RequestContext,
         sink: AnswerSink,
     ) -> Result[Answer, Refusal]:
+        if context.has_left():
+            return Err(refusals.caller_gone(context))
         if context.route.at_most_once:
             return await self._orders.run(context, self._configuration)
         async with trio.open_nursery() as nursery:
@@ -260,14 +263,7 @@
             )
             nursery.cancel_scope.cancel()
             return result
-        return Err(
-            context.refuse(
-                BAD_REQUEST,
-                "caller-gone",
-                "The caller closed its connection.",
-                Step.READ,
-            )
-        )
+        return Err(refusals.caller_gone(context))
 
 
 class AnswerCutError(Exception):
--- a/kingcupvane/request/refusals.py
+++ b/kingcupvane/request/refusals.py
@@ -149,3 +149,13 @@
         Step.QUEUE,
         retry_after_s=OVERLOAD_RETRY_S,
     )
+
+
+def caller_gone(context: RequestContext) -> Refusal:
+    """Returns what is counted for a request that nobody waits for."""
+    return context.refuse(
+        BAD_REQUEST,
+        "caller-gone",
+        "The caller closed its connection.",
+        Step.READ,
+    )
--- a/kingcupvane/tests/test_callers_gone.py
+++ b/kingcupvane/tests/test_callers_gone.py
@@ -3,11 +3,21 @@
 import contextlib
 import socket
 import time
+from types import SimpleNamespace
 
 import pytest
 import trio
+from result import Err, Ok
 
+from kingcupvane import asgi
 from kingcupvane.platform.names import NAMES
+from kingcupvane.process.metrics import Metrics
+from kingcupvane.process.replica import Replica
+from kingcupvane.request import refusals
+from kingcupvane.request.handler import RequestHandler
+from kingcupvane.request.streams import StreamRegistry
+from kingcupvane.settings import ConfigurationSettings, RequestSettings
+from kingcupvane.tests.builders import KEY, configuration
 from kingcupvane.tests.test_exchange import Script, read_request
 from kingcupvane.tests.test_platform_gateway import World, answer_echo, config
 
@@ -145,3 +155,63 @@
 
 async def have_ended(target, count):
     return len(target.ended_at) >= count
+
+
+class CountingRunner:
+    """Stands in for what runs requests of an entry."""
+
+    def __init__(self):
+        """Starts without requests."""
+        self.runs = 0
+
+    async def run(self, context, configuration, *sink):
+        self.runs += 1
+        return Err(refusals.busy(context, "no-capacity"))
+
+
+def entry_handler(clock, timeline, dispatcher, orders):
+    replica = Replica(
+        clock=clock, timeline=timeline, settings=ConfigurationSettings()
+    )
+    replica.offer(configuration().model_dump_json(), source="test")
+    return RequestHandler(
+        settings=RequestSettings(),
+        clock=clock,
+        metrics=Metrics(),
+        refusal_counter=SimpleNamespace(count=lambda refusal: None),
+        admission=SimpleNamespace(admit=lambda context, revision: Ok(None)),
+        dispatcher=dispatcher,
+        orders=orders,
+        streams=StreamRegistry(),
+        replica=replica,
+    )
+
+
+@pytest.mark.parametrize("path", ["/treaty/open/1", "/treaty/book/1"])
+@pytest.mark.parametrize(("left", "runs"), [(True, 0), (False, 1)])
+def test_entry_runs_nothing_for_a_caller_that_left(
+    clock, timeline, path, left, runs
+):
+    runner = CountingRunner()
+    handler = entry_handler(clock, timeline, runner, runner)
+
+    messages = [{"type": "http.request", "body": b""}]
+
+    async def receive():
+        if not messages:
+            await trio.sleep_forever()
+        return messages.pop()
+
+    async def send(message):
+        """Sends nowhere."""
+
+    asked = asgi.HttpRequest(
+        method="POST",
+        path=path,
+        query="",
+        headers={"authorization": f"Bearer {KEY}"},
+        receive=receive,
+        has_left=lambda: left,
+    )
+    trio.run(handler.handle, asked, send)
+    assert runner.runs == runs
