--- a/kingcupvane/asgi.py
+++ b/kingcupvane/asgi.py
@@ -42,6 +42,7 @@
         header_pairs: All headers in their order, names in lower case.
         has_left: Returns whether the caller has closed its connection, also
             where nobody has read that yet.
+        waited_s: Time for which it lay in the process, in seconds.
     """
 
     method: str
@@ -53,6 +54,7 @@
     target: bytes = b""
     header_pairs: list[tuple[bytes, bytes]] = field(default_factory=list)
     has_left: Callable[[], bool] = never_left
+    waited_s: float = 0.0
 
     async def read_body(self, *, limit: int) -> bytes:
         """Reads the whole body.
--- a/kingcupvane/connection/conversation.py
+++ b/kingcupvane/connection/conversation.py
@@ -16,6 +16,7 @@
 
 from kingcupvane import asgi
 from kingcupvane.connection.exchange import RECEIVE_BYTES, abort
+from kingcupvane.connection.rounds import RoundLimiter
 
 # Largest head of a request, in bytes.
 HEAD_MAX_BYTES = 65536
@@ -45,6 +46,7 @@
         taken_at_once: Connections that the last look at the queue of new
             ones took.
         idle: Scopes of the conversations that wait for a request.
+        limiter: Spreads the beginnings of requests over rounds.
     """
 
     stop: trio.Event = field(default_factory=trio.Event)
@@ -52,6 +54,7 @@
     accepted: int = 0
     taken_at_once: int = 0
     idle: set[trio.CancelScope] = field(default_factory=set)
+    limiter: RoundLimiter = field(default_factory=RoundLimiter)
 
 
 class Conversation:
@@ -87,6 +90,7 @@
         self._head: h11.Request | None = None
         self._start: dict[str, Any] | None = None
         self._status = 0
+        self._arrived_at = 0.0
         self._begun = False
         self._answered = False
         self._lost = False
@@ -207,6 +211,8 @@
                 self._parser.receive_data(first)
             elif not _poll_of(self._transport, select.POLLIN).poll(0):
                 return None
+        self._arrived_at = trio.current_time()
+        await state.limiter.enter()
         with trio.CancelScope(deadline=deadline):
             event = await self._next_event()
             if isinstance(event, h11.Request):
@@ -331,6 +337,7 @@
             target=bytes(head.target),
             header_pairs=pairs,
             has_left=self.has_left,
+            waited_s=trio.current_time() - self._arrived_at,
         )
 
 
--- a/kingcupvane/connection/listener.py
+++ b/kingcupvane/connection/listener.py
@@ -13,9 +13,13 @@
 
 # Connections that wait in the kernel at most.
 BACKLOG = 1024
-# Connections taken at one look at the queue; their first requests share a
-# round of the scheduler.
+# Connections taken at one look at the queue.
 TAKEN_MAX = 32
+# Requests waiting in the process from which no more connections are taken: a
+# caller that is not read from may go elsewhere.
+WAITING_MAX = 64
+# Time until the next look then, in seconds.
+FULL_PAUSE_S = 0.005
 # Time without new connections when descriptors or memory are short, in s.
 SHORTAGE_S = 0.1
 SHORTAGES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -59,18 +63,26 @@
         """
         host, _, port = self._address.rpartition(":")
         with _bound(host, int(port)) as sock:
-            async with trio.open_nursery() as conversations:
-                async with trio.open_nursery() as taking:
-                    taking.start_soon(self._take_all, sock, conversations)
+            async with trio.open_nursery() as upkeep:
+                upkeep.start_soon(self._state.limiter.run)
+                async with trio.open_nursery() as conversations:
                     task_status.started([self._url(sock)])
-                    await self._state.stop.wait()
-                    taking.cancel_scope.cancel()
-                self._take_waiting(sock, conversations, most=BACKLOG)
-                sock.close()
-                for scope in list(self._state.idle):
-                    scope.cancel()
-                end = trio.current_time() + graceful_s
-                conversations.cancel_scope.deadline = end
+                    await self._take_until_stop(sock, conversations)
+                    end = trio.current_time() + graceful_s
+                    conversations.cancel_scope.deadline = end
+                upkeep.cancel_scope.cancel()
+
+    async def _take_until_stop(
+        self, sock: socket.socket, conversations: trio.Nursery
+    ) -> None:
+        async with trio.open_nursery() as taking:
+            taking.start_soon(self._take_all, sock, conversations)
+            await self._state.stop.wait()
+            taking.cancel_scope.cancel()
+        self._take_waiting(sock, conversations, most=BACKLOG)
+        sock.close()
+        for scope in list(self._state.idle):
+            scope.cancel()
 
     def _url(self, sock: socket.socket) -> str:
         scheme = "http" if self._tls is None else "https"
@@ -82,6 +94,9 @@
     ) -> None:
         while True:
             await trio.lowlevel.wait_readable(sock)
+            if self._state.limiter.waiting >= WAITING_MAX:
+                await trio.sleep(FULL_PAUSE_S)
+                continue
             try:
                 self._take_waiting(sock, conversations, most=TAKEN_MAX)
             except OSError as error:
--- a/kingcupvane/request/handler.py
+++ b/kingcupvane/request/handler.py
@@ -77,7 +77,7 @@
 
     async def handle(self, request: asgi.HttpRequest, send: asgi.Send) -> None:
         """Serves one request."""
-        started_at = self._clock.now()
+        started_at = self._clock.now() - request.waited_s
         sink = AnswerSink(send=send)
         outcome = await self._serve(request, sink, started_at)
         service = request.path.split("/", 2)[1]
--- a/kingcupvane/request/reception.py
+++ b/kingcupvane/request/reception.py
@@ -71,7 +71,7 @@
         route: RoutePlan,
         account: AccountPlan | None,
     ) -> Passage:
-        now = self._clock.now()
+        arrived_at = self._clock.now() - request.waited_s
         waits = self._waits_s(request, route)
         subject = _cookie(
             request.headers.get("cookie", ""), self._names.subject_cookie
@@ -83,8 +83,8 @@
             request=request,
             route=route,
             account=account,
-            arrived_at=now,
-            deadline=now + waits,
+            arrived_at=arrived_at,
+            deadline=arrived_at + waits,
             attempt_id=request.headers.get(name, "").encode("latin-1"),
             subject=f"{route.name}/{subject}" if subject else "",
             returning=self._deadlines.is_returning(route.name, waits),
--- a/kingcupvane/tests/test_listener.py
+++ b/kingcupvane/tests/test_listener.py
@@ -1,6 +1,7 @@
 """Tests of serving HTTP/1.1 to callers on loopback."""
 
 import socket
+import time
 
 import pytest
 import trio
@@ -9,9 +10,15 @@
 from kingcupvane import asgi
 from kingcupvane.connection import listener
 from kingcupvane.connection.conversation import ServerState
+from kingcupvane.connection.rounds import RoundLimiter
 
 BODY_MAX_BYTES = 1 << 20
 QUIET_S = 0.05
+# What a request costs the process, in seconds.
+WORK_S = 0.004
+# Longest round in which the end of a caller's connection may lie, in seconds:
+# its request is cancelled in two, within half a second.
+ROUND_MAX_S = 0.25
 
 
 async def echo(request, send):
@@ -258,3 +265,78 @@
             server.caller()
 
     Server(echo).play(use)
+
+
+def test_surge_of_requests_leaves_rounds_of_the_scheduler_short():
+    """Kept connections that all ask at once, as after a suspension."""
+    gaps = []
+
+    async def work(request, send):
+        time.sleep(WORK_S)
+        await asgi.HttpResponse(body=b"done").send(send)
+
+    async def tick():
+        while True:
+            before = time.monotonic()
+            await trio.lowlevel.checkpoint()
+            gaps.append(time.monotonic() - before)
+
+    async def use(server):
+        callers = [server.caller() for _ in range(150)]
+        await trio.testing.wait_all_tasks_blocked(QUIET_S)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(tick)
+            await trio.sleep(QUIET_S)
+            for caller in callers:
+                caller.sendall(get(b"/"))
+            for caller in callers:
+                await server.answer(caller, b"done")
+            nursery.cancel_scope.cancel()
+        assert max(gaps) < ROUND_MAX_S
+
+    Server(work).play(use)
+
+
+def test_wait_for_a_turn_counts_as_time_of_the_request():
+    waits = []
+
+    async def work(request, send):
+        time.sleep(WORK_S)
+        waits.append(request.waited_s)
+        await asgi.HttpResponse(body=b"done").send(send)
+
+    async def use(server):
+        callers = [server.caller(get(b"/")) for _ in range(60)]
+        for caller in callers:
+            await server.answer(caller, b"done")
+        assert waits[0] < WORK_S
+        assert max(waits) > 20 * WORK_S
+
+    Server(work).play(use)
+
+
+def test_end_of_one_that_waits_for_its_turn_leaves_the_others_theirs():
+    async def main():
+        limiter = RoundLimiter(begun_max=1)
+        begun = []
+
+        async def begin(name):
+            await limiter.enter()
+            begun.append(name)
+
+        async with trio.open_nursery() as nursery:
+            await limiter.enter()
+            with trio.CancelScope() as scope:
+                scope.cancel()
+                await limiter.enter()
+            for name in "abc":
+                nursery.start_soon(begin, name)
+            await trio.testing.wait_all_tasks_blocked(QUIET_S)
+            assert limiter.waiting == 3
+            nursery.start_soon(limiter.run)
+            while limiter.waiting:
+                await trio.lowlevel.checkpoint()
+            nursery.cancel_scope.cancel()
+        assert sorted(begun) == ["a", "b", "c"]
+
+    trio.run(main)
