Cut off answers of targets that never end

The parser bounds a head. Now an answer is at most 16 MB, its pieces have 512 bytes on average, 16 interim answers may precede it, and all unfinished answers hold an eighth of the VM's memory: past that, those over 256 KB are broken off. The kernel holds 256 KB unread of one connection. Such an exchange counts as broken, its connection is reset. An entry streams large answers and ends them at the deadline; endless interim answers there cost processor time until then, which is not mended.

--- a/kingcupvane/connection/exchange.py
+++ b/kingcupvane/connection/exchange.py
@@ -17,11 +17,18 @@
 import trio
 
 from kingcupvane.clock import Clock
+from kingcupvane.connection.partial import (
+    AnswerMemory,
+    AnswerTooLargeError,
+    PartialAnswer,
+)
 
 RECEIVE_BYTES = 65536
 # Bodies up to this size leave in one piece with the headers.
 INLINE_BODY_BYTES = 16384
 CONNECT_TIMEOUT_S = 0.4
+# Bytes that the kernel holds unread for one connection to a target.
+KERNEL_BYTES = 256 * 1024
 # The kernel gives up on unacknowledged bytes after this time, in milliseconds.
 USER_TIMEOUT_MS = 4000
 # Time that an idle connection is kept, in seconds, where the target says none.
@@ -87,12 +94,14 @@
 
     Attributes:
         stream: The TCP stream.
+        memory: What unfinished answers hold, this connection's included.
         parser: HTTP state of the connection.
         idle_since: Monotonic time of the last exchange's end, in seconds.
         idle_max_s: How long it may stay idle, in seconds.
     """
 
     stream: trio.SocketStream
+    memory: AnswerMemory
     parser: h11.Connection = field(
         default_factory=lambda: h11.Connection(h11.CLIENT)
     )
@@ -117,6 +126,7 @@
             trio.BrokenResourceError,
             trio.ClosedResourceError,
             h11.ProtocolError,
+            AnswerTooLargeError,
         ) as error:
             raise ExchangeBrokenError(
                 f"{type(error).__name__}: {error}"
@@ -161,6 +171,7 @@
                 trio.BrokenResourceError,
                 trio.ClosedResourceError,
                 h11.ProtocolError,
+                AnswerTooLargeError,
             ) as error:
                 failure = error
             nursery.cancel_scope.cancel()
@@ -171,33 +182,42 @@
         return answer
 
     async def _read(self) -> WireAnswer:
-        parts: list[bytes] = []
-        response: h11.Response | None = None
+        partial = PartialAnswer(memory=self.memory)
+        try:
+            await self._read_into(partial)
+            return self._finish(partial)
+        finally:
+            partial.close()
+
+    async def _read_into(self, partial: PartialAnswer) -> None:
         while True:
             event = self.parser.next_event()
             if event is h11.NEED_DATA:
                 data = await self.stream.receive_some(RECEIVE_BYTES)
                 self.parser.receive_data(bytes(data))
             elif isinstance(event, h11.Response):
-                response = event
+                partial.begin(event)
             elif isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
+                if partial.add(bytes(event.data)):
+                    await trio.lowlevel.checkpoint()
             elif isinstance(event, h11.EndOfMessage):
-                break
-            elif not isinstance(event, h11.InformationalResponse):
+                return
+            elif isinstance(event, h11.InformationalResponse):
+                partial.count_interim()
+            else:
                 raise ExchangeBrokenError("the target closed the connection")
+
+    def _finish(self, partial: PartialAnswer) -> WireAnswer:
+        response = partial.response
         if response is None:
             raise ExchangeBrokenError("the target sent no answer")
-        return self._finish(response, b"".join(parts))
-
-    def _finish(self, response: h11.Response, body: bytes) -> WireAnswer:
         headers = [(bytes(n), bytes(v)) for n, v in response.headers]
         self._note_timeout(headers)
         self._recycle()
         return WireAnswer(
             status=response.status_code,
             headers=end_to_end(headers),
-            body=body,
+            body=partial.body,
         )
 
     def _note_timeout(self, headers: list[tuple[bytes, bytes]]) -> None:
@@ -252,9 +272,15 @@
         opened: Connections opened since the start.
     """
 
-    def __init__(self, *, clock: Clock):
-        """Starts without connections."""
+    def __init__(self, *, clock: Clock, memory: AnswerMemory | None = None):
+        """Starts without connections.
+
+        Args:
+            clock: Monotonic clock.
+            memory: Bounds what unfinished answers hold together.
+        """
         self._clock = clock
+        self._memory = memory or AnswerMemory()
         self._idle_by_target: dict[str, list[TargetConnection]] = {}
         self.opened = 0
 
@@ -284,7 +310,9 @@
                 return connection
             await trio.aclose_forcefully(connection.stream)
         self.opened += 1
-        return TargetConnection(stream=await connect(address))
+        return TargetConnection(
+            stream=await connect(address), memory=self._memory
+        )
 
     async def release(self, target: str, connection: TargetConnection) -> None:
         """Takes a connection back after a whole exchange."""
@@ -334,6 +362,7 @@
         sock.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
         )
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, KERNEL_BYTES)
         with trio.fail_after(CONNECT_TIMEOUT_S):
             await sock.connect((host, int(port)))
     except (OSError, trio.TooSlowError) as error:
--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -22,6 +22,7 @@
     FrameCodec,
     GatewayRecord,
 )
+from kingcupvane.connection.partial import AnswerMemory
 from kingcupvane.connection.peer import PeerClient, PeerServer
 from kingcupvane.errors import UsageError
 from kingcupvane.process.catalog import Catalog, GatewayNews, News
@@ -59,6 +60,9 @@
 STOP_POLL_S = 0.05
 # Time after SIGTERM at which no more connections are taken, in seconds.
 STOP_ACCEPT_S = 3.0
+MEGABYTE = 1 << 20
+# Part of the memory that unfinished answers of targets may hold.
+ANSWERS_SHARE = 0.125
 # Share of the fleet's retry budget that gateways hand out together.
 BUDGET_SHARE = 0.75
 GATEWAYS_GUESS = 10
@@ -165,7 +169,12 @@
         self._peer_client = PeerClient(
             codec=self._codec, clock=self._hybrid, timeout_s=REPORT_TIMEOUT_S
         )
-        self._pool = ConnectionPool(clock=self._clock)
+        self._pool = ConnectionPool(
+            clock=self._clock,
+            memory=AnswerMemory(
+                max_bytes=int(ANSWERS_SHARE * settings.memory_mb * MEGABYTE)
+            ),
+        )
         self._feed = StoreFeed(
             store=self._store,
             mirror=self._mirror,
