--- a/kingcupvane/connection/listener.py
+++ b/kingcupvane/connection/listener.py
@@ -11,8 +11,9 @@
 from kingcupvane import asgi
 from kingcupvane.connection.conversation import Conversation, ServerState
 
-# Connections that wait in the kernel at most.
-BACKLOG = 1024
+# Connections that wait in the kernel at most: a caller that finds no room
+# there asks elsewhere sooner than one that waits for long.
+BACKLOG = 128
 # Connections taken at one look at the queue.
 TAKEN_MAX = 32
 # Requests waiting in the process from which no more connections are taken: a
