--- a/kingcupvane/tests/test_callers_gone.py
+++ b/kingcupvane/tests/test_callers_gone.py
@@ -187,10 +187,10 @@
     )
 
 
-@pytest.mark.parametrize("path", ["/treaty/open/1", "/treaty/book/1"])
+@pytest.mark.parametrize("url", ["/treaty/open/1", "/treaty/book/1"])
 @pytest.mark.parametrize(("left", "runs"), [(True, 0), (False, 1)])
 def test_entry_runs_nothing_for_a_caller_that_left(
-    clock, timeline, path, left, runs
+    clock, timeline, url, left, runs
 ):
     runner = CountingRunner()
     handler = entry_handler(clock, timeline, runner, runner)
@@ -207,7 +207,7 @@
 
     asked = asgi.HttpRequest(
         method="POST",
-        path=path,
+        path=url,
         query="",
         headers={"authorization": f"Bearer {KEY}"},
         receive=receive,
--- a/kingcupvane/tests/test_scenarios.py
+++ b/kingcupvane/tests/test_scenarios.py
@@ -23,7 +23,7 @@
     chosen = [
         item.callspec.params["path"]
         for item in request.session.items
-        if "path" in getattr(item, "fixturenames", ())
+        if "runs_by_path" in getattr(item, "fixturenames", ())
     ]
     with ThreadPoolExecutor(AT_ONCE) as pool:
         yield {
