Keep a fault of one caller's connection from ending the process

Found on reading the new server: an answer that could not be written (a reset right after nonsense, or as an error was answered), an unforeseen exception or a failing close left the connection's task and would have ended the listener, and with it the gateway. A broken connection is now told at debug level, anything else as an error, and the socket is closed in each case. Also: the module and its class are called after what they are, an inbound connection.

--- a/kingcupvane/connection/conversation.py
+++ b/kingcupvane/connection/inbound.py
@@ -32,12 +32,19 @@
 NO_BODY_STATUSES = (204, 304)
 BAD_REQUEST = 400
 INTERNAL_ERROR = 500
+# How a connection ends that its caller or the network breaks off.
+BROKEN = (
+    asgi.CallerGoneError,
+    trio.BrokenResourceError,
+    trio.ClosedResourceError,
+    trio.TooSlowError,
+)
 DISCONNECT = {"type": "http.disconnect"}
 
 
 @dataclass(kw_only=True, slots=True)
 class ServerState:
-    """What the conversations of one server share.
+    """What the connections of one server share.
 
     Attributes:
         stop: Set when the server takes no more requests.
@@ -45,7 +52,7 @@
         accepted: Connections taken since the start.
         taken_at_once: Connections that the last look at the queue of new
             ones took.
-        idle: Scopes of the conversations that wait for a request.
+        idle: Scopes of the connections that wait for a request.
         limiter: Spreads the beginnings of requests over rounds.
     """
 
@@ -57,7 +64,7 @@
     limiter: RoundLimiter = field(default_factory=RoundLimiter)
 
 
-class Conversation:
+class InboundConnection:
     """Reads requests from one connection and writes their answers."""
 
     def __init__(
@@ -69,13 +76,13 @@
         state: ServerState,
         peer: str,
     ):
-        """Makes a conversation; `run` holds it.
+        """Makes a connection; `run` serves it.
 
         Args:
             stream: Carries the bytes of HTTP.
             transport: The TCP stream below it, or the same.
             handler: Called for each request.
-            state: What all conversations of the server share.
+            state: What all connections of the server share.
             peer: Address of the caller, as host and port.
         """
         self._stream = stream
@@ -105,25 +112,41 @@
         return bool(self._ends.poll(0))
 
     async def run(self) -> None:
-        """Serves requests until either side closes."""
+        """Serves requests until either side closes; never raises a fault.
+
+        A fault of one connection must not end those of other callers.
+        """
         try:
-            if self._stream is not self._transport:
-                with trio.fail_after(HANDSHAKE_S):
-                    await self._stream.do_handshake()
-            while await self._serve_next():
-                pass
-        except (
-            trio.BrokenResourceError,
-            trio.ClosedResourceError,
-            trio.TooSlowError,
-        ) as error:
-            logger.debug(
-                "event=caller-connection-broken peer={} why={}",
-                self._peer,
-                error,
+            await self._serve_all()
+        except BROKEN as error:
+            self._note_broken(error)
+        except Exception as error:
+            logger.opt(exception=error).error(
+                "event=caller-connection-crashed peer={}", self._peer
             )
         finally:
+            await self._close()
+
+    async def _serve_all(self) -> None:
+        if self._stream is not self._transport:
+            with trio.fail_after(HANDSHAKE_S):
+                await self._stream.do_handshake()
+        while await self._serve_next():
+            pass
+
+    async def _close(self) -> None:
+        try:
             await self._stream.aclose()
+        except Exception as error:
+            self._note_broken(error)
+            await trio.aclose_forcefully(self._transport)
+
+    def _note_broken(self, error: Exception) -> None:
+        logger.debug(
+            "event=caller-connection-broken peer={} why={!r}",
+            self._peer,
+            error,
+        )
 
     async def _serve_next(self) -> bool:
         """Serves one request; returns whether another one may follow."""
--- a/kingcupvane/connection/listener.py
+++ b/kingcupvane/connection/listener.py
@@ -1,4 +1,4 @@
-"""Takes callers' connections and holds a conversation on each."""
+"""Takes callers' connections and serves HTTP on each."""
 
 import errno
 import socket
@@ -9,7 +9,7 @@
 from loguru import logger
 
 from kingcupvane import asgi
-from kingcupvane.connection.conversation import Conversation, ServerState
+from kingcupvane.connection.inbound import InboundConnection, ServerState
 
 # Connections that wait in the kernel at most: a caller that finds no room
 # there asks elsewhere sooner than one that waits for long.
@@ -42,7 +42,7 @@
         Args:
             handler: Called for each request.
             address: Host and port to listen on.
-            state: What its conversations share; its `stop` ends them.
+            state: What its connections share; its `stop` ends them.
             tls: Certificate and key; None for plain HTTP.
         """
         self._handler = handler
@@ -66,21 +66,21 @@
         with _bound(host, int(port)) as sock:
             async with trio.open_nursery() as upkeep:
                 upkeep.start_soon(self._state.limiter.run)
-                async with trio.open_nursery() as conversations:
+                async with trio.open_nursery() as connections:
                     task_status.started([self._url(sock)])
-                    await self._take_until_stop(sock, conversations)
+                    await self._take_until_stop(sock, connections)
                     end = trio.current_time() + graceful_s
-                    conversations.cancel_scope.deadline = end
+                    connections.cancel_scope.deadline = end
                 upkeep.cancel_scope.cancel()
 
     async def _take_until_stop(
-        self, sock: socket.socket, conversations: trio.Nursery
+        self, sock: socket.socket, connections: trio.Nursery
     ) -> None:
         async with trio.open_nursery() as taking:
-            taking.start_soon(self._take_all, sock, conversations)
+            taking.start_soon(self._take_all, sock, connections)
             await self._state.stop.wait()
             taking.cancel_scope.cancel()
-        self._take_waiting(sock, conversations, most=BACKLOG)
+        self._take_waiting(sock, connections, most=BACKLOG)
         sock.close()
         for scope in list(self._state.idle):
             scope.cancel()
@@ -91,7 +91,7 @@
         return f"{scheme}://{host}:{port}"
 
     async def _take_all(
-        self, sock: socket.socket, conversations: trio.Nursery
+        self, sock: socket.socket, connections: trio.Nursery
     ) -> None:
         while True:
             await trio.lowlevel.wait_readable(sock)
@@ -99,7 +99,7 @@
                 await trio.sleep(FULL_PAUSE_S)
                 continue
             try:
-                self._take_waiting(sock, conversations, most=TAKEN_MAX)
+                self._take_waiting(sock, connections, most=TAKEN_MAX)
             except OSError as error:
                 if error.errno not in SHORTAGES:
                     raise
@@ -107,39 +107,37 @@
                 await trio.sleep(SHORTAGE_S)
 
     def _take_waiting(
-        self, sock: socket.socket, conversations: trio.Nursery, *, most: int
+        self, sock: socket.socket, connections: trio.Nursery, *, most: int
     ) -> None:
         """Takes the connections that wait, at most some."""
         state = self._state
         state.taken_at_once = 0
         for _ in range(most):
             try:
-                connection, peer = sock.accept()
+                accepted, peer = sock.accept()
             except BlockingIOError:
                 return
             except ConnectionAbortedError:
                 continue  # Its caller left while it waited.
             state.accepted += 1
             state.taken_at_once += 1
-            conversations.start_soon(self._converse, connection, peer)
+            connections.start_soon(self._serve, accepted, peer)
 
-    async def _converse(self, connection: socket.socket, peer: tuple) -> None:
-        transport = trio.SocketStream(
-            trio.socket.from_stdlib_socket(connection)
-        )
+    async def _serve(self, accepted: socket.socket, peer: tuple) -> None:
+        transport = trio.SocketStream(trio.socket.from_stdlib_socket(accepted))
         stream = transport
         if self._tls is not None:
             stream = trio.SSLStream(
                 transport, self._tls, server_side=True, https_compatible=True
             )
-        conversation = Conversation(
+        connection = InboundConnection(
             stream=stream,
             transport=transport,
             handler=self._handler,
             state=self._state,
             peer=f"{peer[0]}:{peer[1]}",
         )
-        await conversation.run()
+        await connection.run()
 
 
 def _bound(host: str, port: int) -> socket.socket:
--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -10,13 +10,13 @@
 
 from kingcupvane.clock import MILLISECONDS_PER_SECOND, Clock, SystemClock
 from kingcupvane.connection import listener
-from kingcupvane.connection.conversation import ServerState
 from kingcupvane.connection.endpoints import Endpoints
 from kingcupvane.connection.exchange import (
     ConnectFailedError,
     ConnectionPool,
     connect,
 )
+from kingcupvane.connection.inbound import ServerState
 from kingcupvane.connection.messages import (
     Feed,
     FrameCodec,
--- a/kingcupvane/tests/test_listener.py
+++ b/kingcupvane/tests/test_listener.py
@@ -9,7 +9,7 @@
 
 from kingcupvane import asgi
 from kingcupvane.connection import listener
-from kingcupvane.connection.conversation import ServerState
+from kingcupvane.connection.inbound import InboundConnection, ServerState
 from kingcupvane.connection.rounds import RoundLimiter
 
 BODY_MAX_BYTES = 1 << 20
@@ -240,6 +240,62 @@
     Server(handle).play(use)
 
 
+class DeafStream:
+    """A stream over a real socket that fails to send or to close."""
+
+    def __init__(self, transport, *, fault, at):
+        """Raises the fault at the call that is named."""
+        self._transport = transport
+        self._fault = fault
+        self._at = at
+
+    async def receive_some(self, most):
+        return await self._transport.receive_some(most)
+
+    async def send_all(self, data):
+        if self._at == "send":
+            raise self._fault
+        await self._transport.send_all(data)
+
+    async def aclose(self):
+        await self._transport.aclose()
+        if self._at == "close":
+            raise self._fault
+
+    async def do_handshake(self):
+        if self._at == "handshake":
+            raise self._fault
+
+
+@pytest.mark.parametrize(
+    "fault", [trio.BrokenResourceError(), ValueError("unforeseen")]
+)
+@pytest.mark.parametrize("at", ["handshake", "send", "close"])
+@pytest.mark.parametrize("data", [b"nonsense\r\n\r\n", get(b"/")])
+def test_fault_of_one_connection_does_not_reach_the_others(fault, at, data):
+    """Raised in a task of the server, it would end the whole process."""
+
+    async def answer_nothing(request, send):
+        """Leaves the answer to the server."""
+
+    async def main():
+        near, far = socket.socketpair()
+        with far:
+            far.sendall(data)
+            transport = trio.SocketStream(trio.socket.from_stdlib_socket(near))
+            connection = InboundConnection(
+                stream=DeafStream(transport, fault=fault, at=at),
+                transport=transport,
+                handler=answer_nothing,
+                state=ServerState(keep_alive_s=0.1),
+                peer="test",
+            )
+            await connection.run()
+            assert near.fileno() < 0
+
+    trio.run(main)
+
+
 def test_idle_connection_is_closed_after_its_time():
     async def use(server):
         with server.caller(get(b"/1")) as caller:
