--- a/kingcupvane/connection/inbound.py
+++ b/kingcupvane/connection/inbound.py
@@ -230,6 +230,8 @@
         deadline = trio.current_time() + idle_s
         if not self._parser.trailing_data[0]:
             first = await self._first_bytes(deadline)
+            if first == b"":
+                return None
             if first is not None:
                 self._parser.receive_data(first)
             elif not _poll_of(self._transport, select.POLLIN).poll(0):
--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -11,11 +11,7 @@
 from kingcupvane.clock import MILLISECONDS_PER_SECOND, Clock, SystemClock
 from kingcupvane.connection import listener
 from kingcupvane.connection.endpoints import Endpoints
-from kingcupvane.connection.exchange import (
-    ConnectFailedError,
-    ConnectionPool,
-    connect,
-)
+from kingcupvane.connection.exchange import ConnectionPool
 from kingcupvane.connection.inbound import ServerState
 from kingcupvane.connection.messages import (
     Feed,
@@ -40,8 +36,9 @@
 from kingcupvane.process.rollout_task import OutcomeWriter, RolloutTask
 from kingcupvane.process.store import Store
 from kingcupvane.process.supervisor import supervise
+from kingcupvane.process.suspicion import SuspicionChecker
 from kingcupvane.process.timeline import HybridClock, Timeline
-from kingcupvane.request.passage import Suspicion, WireNames
+from kingcupvane.request.passage import WireNames
 from kingcupvane.request.placement import Place
 from kingcupvane.request.quota import QuotaDivision
 from kingcupvane.request.retry import CrashRegistry, RetryBudget
@@ -66,7 +63,6 @@
 # Share of the fleet's retry budget that gateways hand out together.
 BUDGET_SHARE = 0.75
 GATEWAYS_GUESS = 10
-SUSPICIONS_WAITING = 64
 TIMELINE_CAPACITY = 2000
 
 
@@ -192,9 +188,9 @@
                 settings.store.lease_min_s, LEASE_CONTACTS * settings.contact_s
             ),
         )
-        self._suspicions, self._suspicion_inbox = trio.open_memory_channel[
-            Suspicion
-        ](SUSPICIONS_WAITING)
+        self._suspicions = SuspicionChecker(
+            crashes=self._crashes, clock=self._clock, timeline=self._timeline
+        )
 
     def _make_control_tasks(
         self, encode_outcome: OutcomeWriter, outcome_prefix: str
@@ -272,7 +268,7 @@
             names=self._names,
             clock=self._clock,
             tell=self._timeline.record,
-            suspect=self._note_suspicion,
+            suspect=self._suspicions.suspect,
         )
         self._steering = Steering(
             catalog=self._catalog,
@@ -299,12 +295,6 @@
             )
         )
 
-    def _note_suspicion(self, suspicion: Suspicion) -> None:
-        try:
-            self._suspicions.send_nowait(suspicion)
-        except trio.WouldBlock:
-            self._timeline.record("suspicion-dropped", target=suspicion.target)
-
     async def run(self) -> None:
         """Runs until SIGTERM has ended the process gracefully."""
         self._timeline.record("started", data_centre=self._settings.data_centre)
@@ -316,7 +306,7 @@
                 ("upkeep", self._upkeep),
                 ("lateness", self._lateness.run),
                 ("rollouts", self._rollout_task.run),
-                ("suspicions", self._check_suspicions),
+                ("suspicions", self._suspicions.run),
                 ("peers", self._serve_peers),
             ):
                 nursery.start_soon(supervise, name, task, self._timeline)
@@ -444,30 +434,6 @@
             member.feed is Feed.STORE for member in self._peers.members(now)
         )
 
-    async def _check_suspicions(self) -> None:
-        """Blames a request only when its target does not listen any more."""
-        async with trio.open_nursery() as nursery:
-            async for suspicion in self._suspicion_inbox:
-                nursery.start_soon(self._check_suspicion, suspicion)
-
-    async def _check_suspicion(self, suspicion: Suspicion) -> None:
-        try:
-            stream = await connect(suspicion.address)
-        except ConnectFailedError:
-            refused = self._crashes.add(
-                suspicion.print_,
-                started_at=suspicion.started_at,
-                now=self._clock.now(),
-            )
-            self._timeline.record(
-                "target-died-with-request",
-                target=suspicion.target,
-                fingerprint=suspicion.print_,
-                refused=refused,
-            )
-            return
-        await trio.aclose_forcefully(stream)
-
     async def _await_signals(self) -> None:
         with trio.open_signal_receiver(
             signal.SIGTERM, signal.SIGINT, signal.SIGHUP
--- /dev/null
+++ b/kingcupvane/process/suspicion.py
@@ -0,0 +1,63 @@
+"""Finds out whether a target died of the request that it broke off."""
+
+import trio
+
+from kingcupvane.clock import Clock
+from kingcupvane.connection.exchange import ConnectFailedError, connect
+from kingcupvane.process.timeline import Timeline
+from kingcupvane.request.passage import Suspicion
+from kingcupvane.request.retry import CrashRegistry
+
+WAITING_MAX = 64
+
+
+class SuspicionChecker:
+    """Blames a request only when its target does not listen any more."""
+
+    def __init__(
+        self, *, crashes: CrashRegistry, clock: Clock, timeline: Timeline
+    ):
+        """Makes a checker; `run` works on what it is told.
+
+        Args:
+            crashes: Gets the requests that are blamed.
+            clock: Monotonic clock.
+            timeline: Gets deaths of targets.
+        """
+        self._crashes = crashes
+        self._clock = clock
+        self._timeline = timeline
+        self._told, self._inbox = trio.open_memory_channel[Suspicion](
+            WAITING_MAX
+        )
+
+    def suspect(self, suspicion: Suspicion) -> None:
+        """Takes a suspicion; drops it when too many wait."""
+        try:
+            self._told.send_nowait(suspicion)
+        except trio.WouldBlock:
+            self._timeline.record("suspicion-dropped", target=suspicion.target)
+
+    async def run(self) -> None:
+        """Checks suspicions until cancelled."""
+        async with trio.open_nursery() as nursery:
+            async for suspicion in self._inbox:
+                nursery.start_soon(self._check, suspicion)
+
+    async def _check(self, suspicion: Suspicion) -> None:
+        try:
+            stream = await connect(suspicion.address)
+        except ConnectFailedError:
+            refused = self._crashes.add(
+                suspicion.print_,
+                started_at=suspicion.started_at,
+                now=self._clock.now(),
+            )
+            self._timeline.record(
+                "target-died-with-request",
+                target=suspicion.target,
+                fingerprint=suspicion.print_,
+                refused=refused,
+            )
+            return
+        await trio.aclose_forcefully(stream)
--- /dev/null
+++ b/kingcupvane/tests/test_suspicion.py
@@ -0,0 +1,48 @@
+"""Tests of blaming requests for the death of targets."""
+
+import pytest
+import trio
+
+from kingcupvane.connection.messages import Stamp
+from kingcupvane.process.suspicion import WAITING_MAX, SuspicionChecker
+from kingcupvane.request.passage import Suspicion
+from kingcupvane.request.retry import CrashRegistry
+from kingcupvane.settings import RetrySettings
+
+
+def suspicion(address):
+    return Suspicion(print_="p", target="t", address=address, started_at=1000.0)
+
+
+@pytest.fixture
+def checker(clock, timeline):
+    crashes = CrashRegistry(settings=RetrySettings())
+    return SuspicionChecker(crashes=crashes, clock=clock, timeline=timeline)
+
+
+def kinds(timeline):
+    return [event.kind for event in timeline.since(Stamp())]
+
+
+@pytest.mark.parametrize("listens", [True, False])
+def test_only_a_target_that_does_not_listen_has_died(
+    checker, timeline, listens
+):
+    async def main():
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listeners[0].socket.getsockname()[1]
+        if not listens:
+            await listeners[0].aclose()
+        checker.suspect(suspicion(f"127.0.0.1:{port}"))
+        with trio.move_on_after(0.2):
+            await checker.run()
+
+    trio.run(main)
+    died = "target-died-with-request" in kinds(timeline)
+    assert died is not listens
+
+
+def test_suspicions_beyond_the_room_are_told_and_dropped(checker, timeline):
+    for _ in range(WAITING_MAX + 1):
+        checker.suspect(suspicion("127.0.0.1:1"))
+    assert kinds(timeline) == ["suspicion-dropped"]
