--- a/kingcupvane/tests/test_standin_target.py
+++ b/kingcupvane/tests/test_standin_target.py
@@ -1,10 +1,13 @@
 """Tests of the stand-in of a target."""
 
+import socket
+
 import trio
 import trio.testing
 
 from kingcupvane import asgi
 from kingcupvane.settings import TargetStandinSettings
+from kingcupvane.standin.fleet import free_address
 from kingcupvane.standin.target import TargetServer
 
 TIMEOUT_S = 0.5
@@ -52,3 +55,45 @@
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
     assert sent == []
     assert ended_at == [left_at]
+
+
+def test_peak_leaves_out_requests_whose_callers_have_left():
+    """A caller that gives up and asks again has one request, not two."""
+    slots = 4
+    peaks = []
+
+    async def main():
+        host, port = free_address().split(":")
+        server = TargetServer(
+            settings=TargetStandinSettings(
+                name="t",
+                address=f"{host}:{port}",
+                version="v1",
+                slots=slots,
+                service_s=100 * TIMEOUT_S,
+                cold_s=0.0,
+            )
+        )
+        stop = trio.Event()
+
+        def ask():
+            caller = socket.create_connection((host, int(port)))
+            caller.sendall(b"GET /treaty/pos/1 HTTP/1.1\r\nhost: h\r\n\r\n")
+            return caller
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(server.run, stop)
+            await trio.testing.wait_all_tasks_blocked(0.05)
+            callers = []
+            for _ in range(10):
+                for caller in callers:
+                    caller.close()
+                callers = [ask() for _ in range(slots)]
+                await trio.testing.wait_all_tasks_blocked(0.05)
+            peaks.append(server.report.peak)
+            for caller in callers:
+                caller.close()
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    assert peaks == [slots]
