Tell in a scenario's failure which events were counted and which daemons lack

Known red move_judge_frozen failed with 'events role-won 3, expected >= 4'. The count adds up what the reached daemons still hold; the failure did not tell whether one was not reached, or had dropped older events. No check is changed.

--- a/kingcupvane/tests/scenario.py
+++ b/kingcupvane/tests/scenario.py
@@ -69,6 +69,8 @@
         keys_by_name: Keys of callers.
         load: The load that runs or ran last.
         orders_by_name: Idempotency keys.
+        timeline_told: Lines of the time line's last reading that were counted,
+            and those on daemons that it lacks.
     """
 
     fleet: Fleet
@@ -82,6 +84,7 @@
         default_factory=httpcore.ConnectionPool
     )
     changes: int = 0
+    timeline_told: list[str] = field(default_factory=list)
 
     def run(self, text: str) -> None:
         """Runs all statements of a scenario.
@@ -413,7 +416,8 @@
         words = " ".join(str(child) for child in what.children)
         raise ScenarioError(
             f"{what.data} {words}: {found}, expected {comparison} {value};"
-            f" load {dict(run.load.replies) if run.load else None}"
+            f" load {dict(run.load.replies) if run.load else None};"
+            f" time line {run.timeline_told}"
         )
 
 
@@ -469,7 +473,12 @@
 def events(run: Scenario, kind) -> int:
     """Returns how often an event stands on the time line."""
     done = run.fleet.command("timeline", str(run.fleet.operator_file()))
-    return done.stdout.count(f"event={kind}")
+    lines = done.stdout.splitlines()
+    wanted = f"event={kind}"
+    run.timeline_told = [
+        line for line in lines if wanted in line or "event=" not in line
+    ]
+    return done.stdout.count(wanted)
 
 
 @subject("leaked")
