--- /dev/null
+++ b/kingcupvane/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Random faults against real processes, by seed."""
