--- a/kingcupvane/soak/script.py
+++ b/kingcupvane/soak/script.py
@@ -43,12 +43,15 @@
     Attributes:
         process: The process that it holds while it lasts.
         begins: Statement that begins it.
-        ends: Statement that ends it; empty for one that is over at once.
+        ends: Statement that ends it.
+        last: It ends after all that are not last, since its end waits for
+            work that other faults may hold up.
     """
 
     process: str
     begins: str
-    ends: str = ""
+    ends: str
+    last: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -84,8 +87,14 @@
 
 
 @fault
-def _terminate_entry(chance: random.Random, place: Place) -> Fault:
-    return _on(place.entry, "terminate", "restart")
+def _stop_entry(chance: random.Random, place: Place) -> Fault:
+    entry = place.entry
+    return Fault(
+        process=entry,
+        begins=f"leave {entry}",
+        ends=f"restart {entry}",
+        last=True,
+    )
 
 
 @fault
@@ -188,6 +197,8 @@
         if now < free_at.get(made.process, 0.0):
             continue
         ends_at = now + chance.uniform(FAULT_MIN_S, FAULT_MAX_S)
+        if made.last:
+            ends_at = FAULTS_S + 2 * FAULT_MAX_S
         free_at[made.process] = ends_at
         moments += [(now, made.begins), (ends_at, made.ends)]
     before = 0.0
--- a/kingcupvane/standin/fleet.py
+++ b/kingcupvane/standin/fleet.py
@@ -216,8 +216,9 @@
         return self.command("apply", str(path), str(self.operator_file()))
 
     def restart(self, name: str) -> None:
-        """Starts an ended process again with the same settings."""
+        """Starts a process again with the same settings, once it has ended."""
         member = self.members_by_name[name]
+        member.process.wait(STOP_TIMEOUT_S)
         self._launch(member)
         self.wait_ready([name])
 
@@ -235,6 +236,10 @@
         """Lets a suspended process go on."""
         self.members_by_name[name].process.send_signal(signal.SIGCONT)
 
+    def leave(self, name: str) -> None:
+        """Asks a process to stop gracefully, without waiting for its end."""
+        self.members_by_name[name].process.terminate()
+
     def stop(self, name: str) -> int:
         """Stops a process gracefully and returns its exit status."""
         process = self.members_by_name[name].process
--- a/kingcupvane/tests/test_soak.py
+++ b/kingcupvane/tests/test_soak.py
@@ -12,7 +12,7 @@
 SEEDS = (1, 2)
 ENDING_BY_BEGINNING = {
     "kill": "restart",
-    "terminate": "restart",
+    "leave": "restart",
     "freeze": "thaw",
     "cut": "heal",
 }
