Leave no process behind when the soak is interrupted

Before, an interrupt waited for the scripts, and one that was started in the background could not be interrupted at all.

--- a/kingcupvane/soak/runner.py
+++ b/kingcupvane/soak/runner.py
@@ -1,6 +1,7 @@
 """Plays scripts of random faults and keeps what failed."""
 
 import shutil
+import signal
 import tempfile
 import time
 from concurrent.futures import ThreadPoolExecutor, as_completed
@@ -12,6 +13,9 @@
 from kingcupvane.tests.scenario import Scenario
 
 SCRIPT_NAME = "script.scn"
+END_POLL_S = 0.2
+
+_FLEETS: set[Fleet] = set()
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -44,12 +48,16 @@
     (folder / SCRIPT_NAME).write_text(text)
     started = time.monotonic()
     found = ""
+    fleet = Fleet(folder=folder)
+    _FLEETS.add(fleet)
     try:
-        with Fleet(folder=folder) as fleet:
+        with fleet:
             Scenario(fleet=fleet).run(text)
     except Exception as error:
         # Whatever ends a script early is a finding of its seed.
         found = f"{type(error).__name__}: {error}"
+    finally:
+        _FLEETS.discard(fleet)
     seconds = time.monotonic() - started
     return Outcome(seed=seed, seconds=seconds, fault=found, folder=folder)
 
@@ -76,18 +84,33 @@
     """
     size = Size(data_centres=data_centres, entries=entries, targets=targets)
     root = Path(keep or tempfile.mkdtemp(prefix="kingcupvane-soak-"))
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    signal.signal(signal.SIGINT, signal.default_int_handler)
     failed = 0
     with ThreadPoolExecutor(at_once) as pool:
         plays = [
             pool.submit(play, seed, size=size, folder=root / str(seed))
             for seed in range(first, first + seeds)
         ]
-        for done in as_completed(plays):
-            failed += _tell(done.result())
+        try:
+            for done in as_completed(plays):
+                failed += _tell(done.result())
+        except KeyboardInterrupt:
+            pool.shutdown(wait=False, cancel_futures=True)
+            _end_processes()
+            raise
     print(f"{seeds} seeds, {failed} failed")
     return failed
 
 
+def _end_processes() -> None:
+    """Ends what the running scripts have started, so that they fail."""
+    while _FLEETS:
+        for fleet in list(_FLEETS):
+            fleet.end()
+        time.sleep(END_POLL_S)
+
+
 def _tell(outcome: Outcome) -> int:
     """Shows an outcome; returns one for a failure."""
     if not outcome.fault:
--- a/kingcupvane/standin/fleet.py
+++ b/kingcupvane/standin/fleet.py
@@ -122,7 +122,11 @@
 
     def __exit__(self, *_: object) -> None:
         """Ends all processes at once."""
-        for member in self.members_by_name.values():
+        self.end()
+
+    def end(self) -> None:
+        """Ends all processes at once."""
+        for member in list(self.members_by_name.values()):
             if member.process and member.process.poll() is None:
                 member.process.kill()
                 member.process.wait()
