--- a/kingcupvane/tests/caller.py
+++ b/kingcupvane/tests/caller.py
@@ -4,6 +4,7 @@
 import time
 from collections import Counter
 from dataclasses import dataclass, field
+from http import HTTPStatus
 
 import httpcore
 import msgspec
@@ -98,6 +99,8 @@
             )
         except (httpcore.NetworkError, httpcore.ProtocolError):
             continue
+        if response.status != HTTPStatus.OK:
+            continue
         found = msgspec.json.decode(response.content)
         return LookedUp(
             urls=[f"http://{address}" for address in found["entries"]],
