--- a/kingcupvane/soak/script.py
+++ b/kingcupvane/soak/script.py
@@ -179,7 +179,8 @@
         f"fleet {size.data_centres} data centres, {size.entries} entries,"
         f" {size.targets} targets",
         *(_usual_work(target) for target in targets),
-        f"load {chance.randint(RATE_MIN, RATE_MAX)} /s mixed"
+        f"load {chance.randint(RATE_MIN, RATE_MAX)} /s"
+        f" {chance.choice(['mixed', 'orders'])}"
         f" {chance.choice(['at', 'via'])} {', '.join(entries)}",
         *_timed(chance, entries, targets),
         f"wait {RECOVERY_S} s",
