--- a/kingcupvane/tests/test_callers_gone.py
+++ b/kingcupvane/tests/test_callers_gone.py
@@ -19,7 +19,7 @@
 from kingcupvane.settings import ConfigurationSettings, RequestSettings
 from kingcupvane.tests.builders import KEY, configuration
 from kingcupvane.tests.test_exchange import Script, read_request
-from kingcupvane.tests.test_platform_gateway import World, answer_echo, config
+from kingcupvane.tests.test_platform_gateway import World, answer_echo
 
 # Time after a caller's end at which its request must not be worked on, in s.
 GONE_S = 0.5
@@ -96,7 +96,7 @@
 
 
 async def start(world):
-    world.store.put("op/config", config(1))
+    world.put_plan()
     await world.until(world.is_ready)
     assert (await world.ask("/r/first"))[0] == 200
 
--- a/kingcupvane/tests/test_departures.py
+++ b/kingcupvane/tests/test_departures.py
@@ -10,7 +10,7 @@
 
 from kingcupvane.tests.test_callers_gone import Replayed, request
 from kingcupvane.tests.test_exchange import Script, read_request
-from kingcupvane.tests.test_platform_gateway import World, answer_echo, config
+from kingcupvane.tests.test_platform_gateway import World, answer_echo
 
 SEEDS = range(4)
 CALLERS = 40
@@ -112,7 +112,7 @@
     world.target = Script(target.answer)
 
     async def use(world):
-        world.store.put("op/config", config(1))
+        world.put_plan()
         await world.until(world.is_ready)
         async with trio.open_nursery() as background:
             background.start_soon(keep_busy, chance)
--- a/kingcupvane/tests/test_platform_gateway.py
+++ b/kingcupvane/tests/test_platform_gateway.py
@@ -211,6 +211,10 @@
         self.http = httpcore.AsyncConnectionPool()
         self.ended = trio.Event()
 
+    def put_plan(self):
+        """Puts the first configuration into the store."""
+        self.store.put("op/config", config(1))
+
     async def ask(self, path="/r/1", key="k1"):
         answer = await self.http.request(
             "GET",
