Gateways tell why they lag: failed pulls, revisions of their own and of peers

Now an event for each failed pull, the revision of the copy beside the newest that a peer reported, and failed messages by type and error. No decision changes.

--- a/kingcupvane/connection/peer.py
+++ b/kingcupvane/connection/peer.py
@@ -1,5 +1,6 @@
 """Messaging between daemons over pynng request and reply sockets."""
 
+from collections import Counter
 from collections.abc import Awaitable, Callable
 
 import pynng
@@ -85,6 +86,8 @@
     Attributes:
         sent_bytes: Bytes of all frames sent since the start.
         received_bytes: Bytes of all valid replies received since the start.
+        failures: Number of messages without a valid reply since the start, by
+            type of message and type of error.
     """
 
     def __init__(
@@ -103,6 +106,7 @@
         self._sockets_by_address: dict[str, pynng.Req0] = {}
         self.sent_bytes = 0
         self.received_bytes = 0
+        self.failures: Counter[tuple[str, str]] = Counter()
 
     def close(self) -> None:
         """Closes all sockets."""
@@ -131,6 +135,7 @@
             envelope = self._codec.decode(reply_frame)
         except (trio.TooSlowError, pynng.NNGException, FrameError) as error:
             detail = type(error).__name__
+            self.failures[step, detail] += 1
             return Err(PeerError(step=step, peer=address, detail=detail))
         self.received_bytes += len(reply_frame)
         self._clock.receive(envelope.stamp)
--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -455,6 +455,11 @@
         metrics.mirror_age_seconds.set(
             {}, round(now - self._replicator.confirmed_at, 3)
         )
+        metrics.mirror_revision.set({}, self._mirror.as_of)
+        metrics.peer_revision.set({}, self._reporter.newest_reported_revision)
+        for (message, error), count in self._peer_client.failures.items():
+            labels = {"message": message, "error": error}
+            metrics.peer_failures.set(labels, count)
         metrics.gateways.set({}, len(self._peers.live_names(now)))
         metrics.connections_opened.set({}, self._pool.opened)
         metrics.connections_accepted.set({}, self._caller_server_state.accepted)
--- a/kingcupvane/process/metrics.py
+++ b/kingcupvane/process/metrics.py
@@ -100,6 +100,18 @@
             "kingcupvane_store_silence_seconds",
             "Time since this gateway's copy of the store was confirmed.",
         )
+        self.mirror_revision = self._gauge(
+            "kingcupvane_store_revision",
+            "Store revision of this gateway's copy of the store.",
+        )
+        self.peer_revision = self._gauge(
+            "kingcupvane_peers_store_revision",
+            "Newest store revision that another gateway has reported.",
+        )
+        self.peer_failures = self._gauge(
+            "kingcupvane_peer_failures",
+            "Messages to gateways without a reply, by message and error.",
+        )
         self.store_calls = self._gauge(
             "kingcupvane_store_calls", "Store calls since start by operation."
         )
--- a/kingcupvane/process/reporting.py
+++ b/kingcupvane/process/reporting.py
@@ -84,7 +84,11 @@
 
 
 class Reporter:
-    """Sends reports to peers, and applies the reports of peers."""
+    """Sends reports to peers, and applies the reports of peers.
+
+    Attributes:
+        newest_reported_revision: Highest store revision in a peer's report.
+    """
 
     def __init__(
         self,
@@ -144,6 +148,7 @@
         self._usage_totals = UsageTotals()
         self._broadcast_requested = trio.Event()
         self._newest_mirror = NewestMirror()
+        self.newest_reported_revision = 0
         self._pending_addresses: set[str] = set()
         self._report_by_locality: dict[bool, tuple[float, GatewayReport]] = {}
         self._advertised_names: set[str] = set()
@@ -295,6 +300,9 @@
             self.apply_state(state, source=sender.name)
         for progress in report.rollouts:
             self._receive_progress(progress, now)
+        self.newest_reported_revision = max(
+            self.newest_reported_revision, report.as_of
+        )
         if report.as_of > max(self._mirror.as_of, self._newest_mirror.as_of):
             self._newest_mirror.as_of = report.as_of
             self._newest_mirror.address = sender.peer_address
@@ -450,7 +458,14 @@
                 continue
             request = MirrorRequest(after=self._mirror.as_of)
             reply = await self._client.ask(newest.address, request)
-            if isinstance(reply, Ok) and isinstance(
-                reply.ok_value, MirrorReply
-            ):
-                self._replicator.apply_changes(reply.ok_value)
+            match reply:
+                case Ok(MirrorReply() as changes):
+                    self._replicator.apply_changes(changes)
+                case Err(error):
+                    self._timeline.record(
+                        "mirror-pull-failed",
+                        peer=newest.address,
+                        own=self._mirror.as_of,
+                        reported=newest.as_of,
+                        why=error.detail,
+                    )
