--- a/kingcupvane/tests/test_peer.py
+++ b/kingcupvane/tests/test_peer.py
@@ -5,15 +5,59 @@
 
 from kingcupvane.connection.messages import (
     FrameCodec,
+    MirrorReply,
     MirrorRequest,
 )
-from kingcupvane.connection.peer import PeerClient
+from kingcupvane.connection.peer import PeerClient, PeerServer
 from kingcupvane.process.timeline import HybridClock
 from kingcupvane.tests.fakes import TrioClock
 
 TIMEOUT_S = 0.2
 
 
+class SilentLink:
+    """A TCP proxy whose open connections can go silent for good.
+
+    Connections opened later work, as after a VM lost power and has returned.
+    """
+
+    def __init__(self, *, port):
+        """Makes a link that forwards to a local port."""
+        self._port = port
+        self._scopes = set()
+        self.address = ""
+        self.opened = 0
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listeners[0].socket.getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        await trio.serve_listeners(
+            self._forward, listeners, task_status=task_status
+        )
+
+    def silence(self):
+        for scope in self._scopes:
+            scope.cancel()
+        self._scopes.clear()
+
+    async def _forward(self, near):
+        self.opened += 1
+        far = await trio.open_tcp_stream("127.0.0.1", self._port)
+        with trio.CancelScope() as scope:
+            self._scopes.add(scope)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(copy, near, far)
+                nursery.start_soon(copy, far, near)
+        # The connection stays open, and nothing passes any more.
+        await trio.sleep_forever()
+
+
+async def copy(source, sink):
+    async for chunk in source:
+        await sink.send_all(chunk)
+
+
 @pytest.fixture
 def codec():
     return FrameCodec(secret=b"test")
@@ -25,6 +69,48 @@
     )
 
 
+async def start_server(nursery, codec, *, delay_s=0.0):
+    """Starts a server; returns its port."""
+
+    async def reply(request):
+        await trio.sleep(delay_s)
+        return MirrorReply(items=[], as_of=request.after, whole=False)
+
+    (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    port = listener.socket.getsockname()[1]
+    await listener.aclose()
+    server = PeerServer(
+        address=f"127.0.0.1:{port}",
+        codec=codec,
+        clock=HybridClock(clock=TrioClock()),
+        handler=reply,
+    )
+    await nursery.start(server.run)
+    return port
+
+
+def test_peer_behind_a_silent_connection_is_reached_over_a_new_one(codec):
+    """A gateway that lost power and returned was not heard for minutes."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            link = SilentLink(port=await start_server(nursery, codec))
+            await nursery.start(link.run)
+            client = make_client(codec)
+            first = await client.ask(link.address, MirrorRequest(after=1))
+            assert first.is_ok()
+            link.silence()
+            lost = await client.ask(link.address, MirrorRequest(after=2))
+            assert lost.err_value.detail == "TooSlowError"
+            again = await client.ask(link.address, MirrorRequest(after=3))
+            assert again.is_ok()
+            assert again.ok_value.as_of == 3
+            client.close()
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
 def test_failed_messages_are_counted_by_type_and_error(codec):
     async def main():
         client = make_client(codec)
