Messages to a peer that times out: the next one opens a new connection

Cause: there is one socket for each peer address, for ever. Messages to a VM without power stay unacknowledged, the kernel repeats them at intervals that double, and after 29 s the next try is up to half a minute away. The socket neither fails nor passes anything when the VM is back, while the peer's own new connections work, so that it counts as live. Class: a connection is trusted though nothing comes over it.

Change: a message without a reply in time, or with an unreadable one, retires its socket; the next message dials anew, and the old socket is closed when no message waits on it. Sockets of addresses that are gone end in this way, too.

--- a/kingcupvane/connection/peer.py
+++ b/kingcupvane/connection/peer.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 import pynng
 import trio
@@ -23,6 +24,43 @@
 # Upper bound of the backoff between reconnection attempts.
 RECONNECT_MAX_MS = 1000
 
+
+@dataclass(eq=False, kw_only=True, slots=True)
+class _Dialer:
+    """A socket that is dialed to one address.
+
+    Attributes:
+        socket: The socket.
+        in_flight: Number of messages that use it now.
+        is_replaced: Whether it is closed once no message uses it.
+    """
+
+    socket: pynng.Req0
+    in_flight: int = 0
+    is_replaced: bool = False
+
+    async def exchange(self, frame: bytes) -> bytes:
+        """Sends a frame and returns the reply."""
+        self.in_flight += 1
+        try:
+            with self.socket.new_context() as context:
+                await context.asend(frame)
+                return await context.arecv()
+        finally:
+            self.in_flight -= 1
+            self.close_if_unused()
+
+    def replace(self) -> None:
+        """Closes the socket as soon as no message uses it."""
+        self.is_replaced = True
+        self.close_if_unused()
+
+    def close_if_unused(self) -> None:
+        """Closes a replaced socket that no message uses."""
+        if self.is_replaced and not self.in_flight:
+            self.socket.close()
+
+
 PeerHandler = Callable[[Message], Awaitable[Message | None]]
 
 
@@ -103,16 +141,16 @@
         self._codec = codec
         self._clock = clock
         self._timeout_s = timeout_s
-        self._sockets_by_address: dict[str, pynng.Req0] = {}
+        self._dialers_by_address: dict[str, _Dialer] = {}
         self.sent_bytes = 0
         self.received_bytes = 0
         self.failures: Counter[tuple[str, str]] = Counter()
 
     def close(self) -> None:
         """Closes all sockets."""
-        for socket in self._sockets_by_address.values():
-            socket.close()
-        self._sockets_by_address.clear()
+        for dialer in self._dialers_by_address.values():
+            dialer.socket.close()
+        self._dialers_by_address.clear()
 
     async def ask(
         self, address: str, message: Message
@@ -129,11 +167,15 @@
         step = type(message).__name__
         frame = self._codec.encode(Envelope(self._clock.tick(), message))
         self.sent_bytes += len(frame)
+        dialer = self._dialer(address)
         try:
             with trio.fail_after(self._timeout_s):
-                reply_frame = await self._exchange(address, frame)
+                reply_frame = await dialer.exchange(frame)
             envelope = self._codec.decode(reply_frame)
         except (trio.TooSlowError, pynng.NNGException, FrameError) as error:
+            # A connection whose peer lost power neither fails nor passes
+            # anything for minutes after the peer has returned.
+            self._replace(address, dialer)
             detail = type(error).__name__
             self.failures[step, detail] += 1
             return Err(PeerError(step=step, peer=address, detail=detail))
@@ -141,19 +183,20 @@
         self._clock.receive(envelope.stamp)
         return Ok(envelope.message)
 
-    async def _exchange(self, address: str, frame: bytes) -> bytes:
-        socket = self._socket(address)
-        with socket.new_context() as context:
-            await context.asend(frame)
-            return await context.arecv()
+    def _replace(self, address: str, dialer: _Dialer) -> None:
+        """Makes the next message to an address open a new connection."""
+        if self._dialers_by_address.get(address) is dialer:
+            del self._dialers_by_address[address]
+        dialer.replace()
 
-    def _socket(self, address: str) -> pynng.Req0:
-        socket = self._sockets_by_address.get(address)
-        if socket is None:
+    def _dialer(self, address: str) -> _Dialer:
+        dialer = self._dialers_by_address.get(address)
+        if dialer is None:
             socket = pynng.Req0(resend_time=0)
             socket.recv_max_size = MESSAGE_MAX_BYTES
             socket.reconnect_time_min = 50
             socket.reconnect_time_max = RECONNECT_MAX_MS
             socket.dial(f"tcp://{address}", block=False)
-            self._sockets_by_address[address] = socket
-        return socket
+            dialer = _Dialer(socket=socket)
+            self._dialers_by_address[address] = dialer
+        return dialer
