A gateway whose copy of the store lags watches the store itself

Cause: a gateway that does not watch the store has one way to the plan, the neighbour that does, and never looks whether that way works: it has stopped to watch since the neighbour counts as live. Any reason for which changes cannot be copied (silent connection, replies too large or too late, a watch that hangs, a neighbour that is slow) keeps it at the old plan without end. Class: liveness of a peer is taken for its usefulness.

Change: reports and copies tell how long ago the store was known to hold nothing newer. A gateway that hears of a newer revision for 0.5 s without getting it, or of no confirmation for 2.2 s, watches the store itself for 5 s. The decision is MirrorFreshness, without I/O. A watch without changes ends after 1.2 s instead of 2.5, and one without reply 1.0 s after that, so that ages stay below the bound while all is well, and a watch that hangs is given up within the time in which plans must be in force.

Metric kingcupvane_plan_age_seconds; event mirror-stale.

Ruled out: to count failed pulls only, which misses a neighbour whose own watch hangs; to let every gateway watch, whose calls grow with the fleet.

--- a/kingcupvane/connection/messages.py
+++ b/kingcupvane/connection/messages.py
@@ -347,6 +347,8 @@
         record: The sending gateway.
         ready: Whether callers may be sent to it.
         as_of: Store revision of its mirror.
+        confirmed_age_s: Time since the store is known to have held nothing
+            newer than that revision, in seconds.
         feed: Where its mirror is updated from.
         use: Demand and admitted requests of its callers, by client account;
             like `demand` and `in_flight`, it is sent only within the data
@@ -368,6 +370,7 @@
     record: GatewayRecord
     ready: bool
     as_of: int
+    confirmed_age_s: float = float("inf")
     feed: MirrorSource = MirrorSource.PEERS
     use: dict[str, AccountUsage] = {}
     demand: dict[str, float] = {}
@@ -398,11 +401,14 @@
         items: The changed items; all items if `whole`.
         as_of: Store revision up to which the items are complete.
         whole: Whether `items` is a complete listing.
+        confirmed_age_s: Time since the store is known to have held nothing
+            newer than `as_of`, in seconds.
     """
 
     items: list[Item]
     as_of: int
     whole: bool
+    confirmed_age_s: float = float("inf")
 
 
 Message = (
--- a/kingcupvane/platform/store.py
+++ b/kingcupvane/platform/store.py
@@ -31,7 +31,7 @@
 SERVICE_UNAVAILABLE = 503
 SUCCESS_STATUS_MAX = 299
 # Time that the reply to a watch may take beyond the watch's own wait.
-WATCH_TIMEOUT_MARGIN_S = 1.5
+WATCH_TIMEOUT_MARGIN_S = 1.0
 MILLISECONDS_PER_SECOND = 1000
 
 
--- /dev/null
+++ b/kingcupvane/process/freshness.py
@@ -0,0 +1,81 @@
+"""How far a gateway's mirror is known to lag behind the store; does no I/O.
+
+A gateway learns from its own calls and from the reports of peers up to which
+revision, and how long ago, a mirror was complete. From that it decides whether
+copying from peers is enough, or whether it must ask the store itself.
+"""
+
+import math
+
+from kingcupvane.process.mirror import Mirror
+
+# Time for which peers may know a newer revision that cannot be copied from
+# them, in seconds.
+BEHIND_MAX_S = 0.5
+# Age of the last confirmation from which the gateways that watch the store
+# count as stuck, in seconds; longer than a watch without changes and the
+# reports that pass its end on.
+AGE_MAX_S = 2.2
+# Time for which a gateway that lagged behind keeps watching the store itself,
+# in seconds.
+FALLBACK_S = 5.0
+
+
+class MirrorFreshness:
+    """Knows when the mirror was last complete, and what it lacks since when.
+
+    Attributes:
+        confirmed_at: Latest monotonic time at which the store is known to have
+            held nothing newer than the mirror, in seconds.
+        newest_revision: Highest store revision that was heard of.
+    """
+
+    def __init__(self, *, mirror: Mirror, now: float):
+        """Starts as if the mirror were complete.
+
+        Args:
+            mirror: The mirror.
+            now: Monotonic seconds.
+        """
+        self._mirror = mirror
+        self._missing_revision = 0
+        self._missing_since = math.inf
+        self._fallback_until = -math.inf
+        self.confirmed_at = now
+        self.newest_revision = 0
+
+    def confirm(self, revision: int, now: float, *, age_s: float = 0.0) -> None:
+        """Notes that the store held nothing newer than a revision.
+
+        Args:
+            revision: The revision.
+            now: Monotonic seconds.
+            age_s: How long ago that was the case, in seconds; infinite when
+                only the revision is known.
+        """
+        self.newest_revision = max(self.newest_revision, revision)
+        if revision <= self._mirror.as_of:
+            self.confirmed_at = max(self.confirmed_at, now - max(0.0, age_s))
+        elif self._missing_revision <= self._mirror.as_of:
+            self._missing_revision = revision
+            self._missing_since = now
+
+    def age_s(self, now: float) -> float:
+        """Returns the time since the last confirmation, in seconds."""
+        return max(0.0, now - self.confirmed_at)
+
+    def must_ask_store(self, now: float) -> bool:
+        """Returns whether this gateway must watch the store itself.
+
+        Once it must, it does so for `FALLBACK_S`.
+        """
+        if now >= self._fallback_until and self._is_stale(now):
+            self._fallback_until = now + FALLBACK_S
+        return now < self._fallback_until
+
+    def _is_stale(self, now: float) -> bool:
+        is_behind = (
+            self._missing_revision > self._mirror.as_of
+            and now - self._missing_since > BEHIND_MAX_S
+        )
+        return is_behind or self.age_s(now) > AGE_MAX_S
--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -452,11 +452,16 @@
         metrics = self._metrics
         metrics.active.set({}, self._pipeline.active_request_count)
         metrics.plan_number.set({}, self._catalog.plan.number)
+        metrics.plan_age_seconds.set(
+            {}, round(self._replicator.freshness.age_s(now), 3)
+        )
         metrics.mirror_age_seconds.set(
             {}, round(now - self._replicator.confirmed_at, 3)
         )
         metrics.mirror_revision.set({}, self._mirror.as_of)
-        metrics.peer_revision.set({}, self._reporter.newest_reported_revision)
+        metrics.peer_revision.set(
+            {}, self._replicator.freshness.newest_revision
+        )
         for (message, error), count in self._peer_client.failures.items():
             labels = {"message": message, "error": error}
             metrics.peer_failures.set(labels, count)
--- a/kingcupvane/process/metrics.py
+++ b/kingcupvane/process/metrics.py
@@ -96,6 +96,10 @@
         self.plan_number = self._gauge(
             "kingcupvane_plan_number", "Version of the plan in force."
         )
+        self.plan_age_seconds = self._gauge(
+            "kingcupvane_plan_age_seconds",
+            "Time since the plan in force was known to be the store's newest.",
+        )
         self.mirror_age_seconds = self._gauge(
             "kingcupvane_store_silence_seconds",
             "Time since this gateway's copy of the store was confirmed.",
@@ -106,7 +110,7 @@
         )
         self.peer_revision = self._gauge(
             "kingcupvane_peers_store_revision",
-            "Newest store revision that another gateway has reported.",
+            "Newest store revision that this gateway has heard of.",
         )
         self.peer_failures = self._gauge(
             "kingcupvane_peer_failures",
--- a/kingcupvane/process/replication.py
+++ b/kingcupvane/process/replication.py
@@ -2,7 +2,8 @@
 
 One gateway of each data centre watches the store; the others copy from a peer
 with a newer mirror, so calls to the store do not grow with the fleet. A watcher
-that cannot reach the store reports it, and the next candidate takes over.
+that cannot reach the store reports it, and the next candidate takes over. A
+gateway whose mirror lags all the same watches the store itself for a while.
 """
 
 from collections.abc import Callable
@@ -18,6 +19,7 @@
     MirrorRequest,
     MirrorSource,
 )
+from kingcupvane.process.freshness import MirrorFreshness
 from kingcupvane.process.item import ABSENT_REVISION, Item
 from kingcupvane.process.mirror import Mirror
 from kingcupvane.process.peering import PeerTable, store_watchers
@@ -47,6 +49,7 @@
 
     Attributes:
         mirror_source: Present source of the mirror.
+        freshness: How far the mirror is known to lag behind the store.
         confirmed_at: Monotonic time at which the store last answered or a peer
             last sent changes, in seconds.
     """
@@ -81,19 +84,36 @@
         self._clock = clock
         self._timeline = timeline
         self.mirror_source = MirrorSource.LOST
+        self.freshness = MirrorFreshness(mirror=mirror, now=clock.now())
         self.confirmed_at = clock.now()
         self._retry_delay_s = RETRY_DELAY_MIN_S
 
     async def run(self) -> None:
         """Keeps the mirror up to date until cancelled."""
         while True:
-            if self._mirror.is_loaded and not self._is_watcher():
+            if self._mirror.is_loaded and not self._must_watch():
                 if self.mirror_source is MirrorSource.STORE:
                     self.mirror_source = MirrorSource.PEERS
                 await trio.sleep(WATCHER_CHECK_PERIOD_S)
                 continue
             await self._update_once()
 
+    def _must_watch(self) -> bool:
+        """Returns whether this gateway must watch the store now."""
+        if self._is_watcher():
+            return True
+        now = self._clock.now()
+        if not self.freshness.must_ask_store(now):
+            return False
+        if self.mirror_source is MirrorSource.PEERS:
+            self._timeline.record(
+                "mirror-stale",
+                own=self._mirror.as_of,
+                reported=self.freshness.newest_revision,
+                age_s=round(self.freshness.age_s(now), 3),
+            )
+        return True
+
     def _is_watcher(self) -> bool:
         # This gateway counts as able to reach the store, so that a watcher that
         # has lost the store keeps trying.
@@ -121,6 +141,7 @@
             return
         self._retry_delay_s = RETRY_DELAY_MIN_S
         self.confirmed_at = self._clock.now()
+        self.freshness.confirm(self._mirror.as_of, self.confirmed_at)
         if self.mirror_source is not MirrorSource.STORE:
             self.mirror_source = MirrorSource.STORE
             self._timeline.record("store-regained", as_of=self._mirror.as_of)
@@ -178,14 +199,17 @@
             items=list(mirror.items()) if whole else changes,
             as_of=mirror.as_of,
             whole=whole,
+            confirmed_age_s=self.freshness.age_s(self._clock.now()),
         )
 
     def apply_changes(self, reply: MirrorReply) -> None:
         """Applies changes from a peer's mirror."""
-        self.confirmed_at = self._clock.now()
+        now = self._clock.now()
+        self.confirmed_at = now
         mirror = self._mirror
         update = mirror.replace if reply.whole else mirror.merge
         self._apply_items(update(reply.items, as_of=reply.as_of))
+        self.freshness.confirm(reply.as_of, now, age_s=reply.confirmed_age_s)
 
 
 class GatewayRegistration:
--- a/kingcupvane/process/reporting.py
+++ b/kingcupvane/process/reporting.py
@@ -84,11 +84,7 @@
 
 
 class Reporter:
-    """Sends reports to peers, and applies the reports of peers.
-
-    Attributes:
-        newest_reported_revision: Highest store revision in a peer's report.
-    """
+    """Sends reports to peers, and applies the reports of peers."""
 
     def __init__(
         self,
@@ -148,7 +144,6 @@
         self._usage_totals = UsageTotals()
         self._broadcast_requested = trio.Event()
         self._newest_mirror = NewestMirror()
-        self.newest_reported_revision = 0
         self._pending_addresses: set[str] = set()
         self._report_by_locality: dict[bool, tuple[float, GatewayReport]] = {}
         self._advertised_names: set[str] = set()
@@ -212,6 +207,7 @@
             record=self._peers.own,
             ready=self._is_ready(),
             as_of=self._mirror.as_of,
+            confirmed_age_s=self._replicator.freshness.age_s(now),
             feed=self._replicator.mirror_source,
             use=self._quota.usage_by_account(now) if local else {},
             demand=self._catalog.demand() if local else {},
@@ -300,8 +296,8 @@
             self.apply_state(state, source=sender.name)
         for progress in report.rollouts:
             self._receive_progress(progress, now)
-        self.newest_reported_revision = max(
-            self.newest_reported_revision, report.as_of
+        self._replicator.freshness.confirm(
+            report.as_of, now, age_s=report.confirmed_age_s
         )
         if report.as_of > max(self._mirror.as_of, self._newest_mirror.as_of):
             self._newest_mirror.as_of = report.as_of
--- a/kingcupvane/settings.py
+++ b/kingcupvane/settings.py
@@ -376,7 +376,7 @@
         1.0, gt=0, description="Timeout of one call, in seconds."
     )
     watch_s: float = Field(
-        2.5,
+        1.2,
         gt=0,
         description="Longest time that a watch call waits, in seconds.",
     )
--- /dev/null
+++ b/kingcupvane/tests/test_freshness.py
@@ -0,0 +1,67 @@
+"""Tests of how far a mirror is known to lag behind the store."""
+
+from math import inf
+
+import pytest
+
+from kingcupvane.process.freshness import (
+    AGE_MAX_S,
+    BEHIND_MAX_S,
+    FALLBACK_S,
+    MirrorFreshness,
+)
+from kingcupvane.process.item import Item
+from kingcupvane.process.mirror import Mirror
+
+
+@pytest.fixture
+def mirror():
+    mirror = Mirror(prefix="")
+    mirror.merge([], as_of=10)
+    return mirror
+
+
+@pytest.fixture
+def freshness(mirror):
+    return MirrorFreshness(mirror=mirror, now=0.0)
+
+
+def test_confirmation_of_the_own_or_an_older_revision_makes_it_fresh(freshness):
+    freshness.confirm(10, 2.0, age_s=0.5)
+    assert freshness.age_s(2.0) == 0.5
+    freshness.confirm(9, 3.0, age_s=0.25)
+    assert freshness.age_s(3.0) == 0.25
+    freshness.confirm(10, 4.0, age_s=inf)
+    assert freshness.age_s(4.0) == 1.25
+
+
+def test_newer_revision_that_arrives_in_time_needs_no_call(mirror, freshness):
+    for step in range(1, 20):
+        now = step * BEHIND_MAX_S
+        freshness.confirm(10 + step, now, age_s=0.1)
+        mirror.merge([Item(key="k", revision=10 + step)], as_of=10 + step)
+        freshness.confirm(10 + step, now + 0.1, age_s=0.2)
+        assert not freshness.must_ask_store(now + 0.9 * BEHIND_MAX_S)
+
+
+def test_revision_that_cannot_be_copied_asks_the_store(mirror, freshness):
+    """Further changes must not start the time anew."""
+    for step in range(8):
+        freshness.confirm(11 + step, 1.0 + step / 8, age_s=0.0)
+    assert not freshness.must_ask_store(1.0 + BEHIND_MAX_S)
+    assert freshness.must_ask_store(1.01 + BEHIND_MAX_S)
+    mirror.merge([], as_of=18)
+    freshness.confirm(18, 2.0)
+    assert freshness.must_ask_store(0.9 * FALLBACK_S)
+    freshness.confirm(18, 1.5 + FALLBACK_S)
+    assert not freshness.must_ask_store(1.6 + FALLBACK_S)
+
+
+def test_age_without_a_confirmation_asks_the_store(freshness):
+    assert not freshness.must_ask_store(AGE_MAX_S)
+    assert freshness.must_ask_store(AGE_MAX_S + 0.1)
+
+
+def test_negative_age_is_none(freshness):
+    freshness.confirm(10, 1.0, age_s=-5.0)
+    assert freshness.confirmed_at == 1.0
