--- a/kingcupvane/process/metrics.py
+++ b/kingcupvane/process/metrics.py
@@ -96,10 +96,26 @@
         self.plan_number = self._gauge(
             "kingcupvane_plan_number", "Version of the plan in force."
         )
+        self.plan_age_seconds = self._gauge(
+            "kingcupvane_plan_age_seconds",
+            "Time since the plan in force was known to be the store's newest.",
+        )
         self.mirror_age_seconds = self._gauge(
             "kingcupvane_store_silence_seconds",
             "Time since this gateway's copy of the store was confirmed.",
         )
+        self.mirror_revision = self._gauge(
+            "kingcupvane_store_revision",
+            "Store revision of this gateway's copy of the store.",
+        )
+        self.peer_revision = self._gauge(
+            "kingcupvane_peers_store_revision",
+            "Newest store revision that this gateway has heard of.",
+        )
+        self.peer_failures = self._gauge(
+            "kingcupvane_peer_failures",
+            "Messages to gateways without a reply, by message and error.",
+        )
         self.store_calls = self._gauge(
             "kingcupvane_store_calls", "Store calls since start by operation."
         )
--- a/kingcupvane/process/reporting.py
+++ b/kingcupvane/process/reporting.py
@@ -207,6 +207,7 @@
             record=self._peers.own,
             ready=self._is_ready(),
             as_of=self._mirror.as_of,
+            confirmed_age_s=self._replicator.freshness.age_s(now),
             feed=self._replicator.mirror_source,
             use=self._quota.usage_by_account(now) if local else {},
             demand=self._catalog.demand() if local else {},
@@ -295,6 +296,9 @@
             self.apply_state(state, source=sender.name)
         for progress in report.rollouts:
             self._receive_progress(progress, now)
+        self._replicator.freshness.confirm(
+            report.as_of, now, age_s=report.confirmed_age_s
+        )
         if report.as_of > max(self._mirror.as_of, self._newest_mirror.as_of):
             self._newest_mirror.as_of = report.as_of
             self._newest_mirror.address = sender.peer_address
@@ -450,7 +454,14 @@
                 continue
             request = MirrorRequest(after=self._mirror.as_of)
             reply = await self._client.ask(newest.address, request)
-            if isinstance(reply, Ok) and isinstance(
-                reply.ok_value, MirrorReply
-            ):
-                self._replicator.apply_changes(reply.ok_value)
+            match reply:
+                case Ok(MirrorReply() as changes):
+                    self._replicator.apply_changes(changes)
+                case Err(error):
+                    self._timeline.record(
+                        "mirror-pull-failed",
+                        peer=newest.address,
+                        own=self._mirror.as_of,
+                        reported=newest.as_of,
+                        why=error.detail,
+                    )
