A copy made from a listing hands on removals that it never knew

A gateway that has started anew lists the store and so does not know which keys were removed before. A neighbour that lags behind that listing and asks for the changes since its own revision got none of these removals, yet the listing's revision with them: it kept using a target that had left, or an evacuation that had ended, and counted as complete. Class: a copy with a hole is told on as whole.

Change: changes from before the last listing are answered with all items.

Evidence: test_removal_before_a_listing_reaches_a_mirror_that_lags_behind_it failed before ([] instead of None).

--- a/kingcupvane/process/mirror.py
+++ b/kingcupvane/process/mirror.py
@@ -70,6 +70,8 @@
                 changed.extend(self._apply(tombstone))
         for item in listed.values():
             changed.extend(self._apply(item))
+        # A listing does not name the keys that were removed before it.
+        self._pruned_revision = max(self._pruned_revision, as_of)
         self.as_of = max(self.as_of, as_of)
         return changed
 
@@ -93,7 +95,7 @@
         """Returns all changes after a revision.
 
         Returns:
-            The changes, or None when tombstones among them are pruned.
+            The changes, or None when tombstones among them may be missing.
         """
         if revision < self._pruned_revision:
             return None
--- a/kingcupvane/tests/test_mirror.py
+++ b/kingcupvane/tests/test_mirror.py
@@ -65,3 +65,14 @@
     assert contents(mirror) == {"new": "2", "x": "3"}
     assert [item.key for item in changed if item.deleted] == ["old"]
     assert mirror.as_of == 9
+
+
+def test_removal_before_a_listing_reaches_a_mirror_that_lags_behind_it():
+    """A restarted gateway handed on its copy without what it never knew."""
+    restarted, lagging = Mirror(prefix=""), Mirror(prefix="")
+    lagging.merge([Item(key="gone", value="1", revision=10)], as_of=10)
+    restarted.replace([Item(key="here", value="2", revision=5)], as_of=12)
+    assert restarted.changes_since(lagging.as_of) is None
+    assert restarted.changes_since(12) == []
+    lagging.replace(restarted.items(), as_of=restarted.as_of)
+    assert contents(lagging) == {"here": "2"}
