Calls to the store after one that timed out open new connections

Kept connections may go silent together, without a reset. Each call then tried one of up to eight and waited a second for it, so that a gateway that watches the store could lag for many seconds. Same class: a connection is trusted though nothing comes over it.

Change: a call that times out retires the pool; calls in flight on it end, the next call starts with a new one.

Evidence: test_call_after_a_silent_connection_opens_a_new_one failed before (the second call timed out as well).

--- a/kingcupvane/platform/store.py
+++ b/kingcupvane/platform/store.py
@@ -101,6 +101,45 @@
     lease: int = 0
 
 
+class StoreConnections:
+    """Kept connections to the store, given up together once one is silent."""
+
+    def __init__(self):
+        """Makes an empty pool."""
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=CONNECTIONS_MAX, keepalive_expiry=KEEP_ALIVE_S
+        )
+        self._in_flight = 0
+        self._is_retired = False
+
+    async def request(
+        self, method: str, url: str, *, content: bytes, headers: dict[str, str]
+    ) -> httpcore.Response:
+        """Sends a request and returns the response."""
+        self._in_flight += 1
+        try:
+            return await self._pool.request(
+                method, url, content=content, headers=headers
+            )
+        finally:
+            self._in_flight -= 1
+            await self._close_if_unused()
+
+    async def retire(self) -> None:
+        """Closes the connections as soon as no request uses them."""
+        self._is_retired = True
+        await self._close_if_unused()
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._pool.aclose()
+
+    async def _close_if_unused(self) -> None:
+        if self._is_retired and not self._in_flight:
+            with trio.CancelScope(shield=True):
+                await self._pool.aclose()
+
+
 class PlatformStore:
     """Client of the platform's store.
 
@@ -117,14 +156,12 @@
         """
         self._address = address
         self._timeout_s = timeout_s
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=CONNECTIONS_MAX, keepalive_expiry=KEEP_ALIVE_S
-        )
+        self._connections = StoreConnections()
         self.calls: dict[str, int] = {}
 
     async def close(self) -> None:
         """Closes all connections."""
-        await self._pool.aclose()
+        await self._connections.close()
 
     async def get(self, key: str) -> Result[Item, StoreError]:
         """Returns an item; revision `ABSENT_REVISION` if the key is missing."""
@@ -285,9 +322,10 @@
         if body:
             headers["content-type"] = "application/json"
         detail = "timeout"
-        with trio.move_on_after(timeout_s or self._timeout_s):
+        connections = self._connections
+        with trio.move_on_after(timeout_s or self._timeout_s) as scope:
             try:
-                response = await self._pool.request(
+                response = await connections.request(
                     method,
                     f"http://{self._address}{path}",
                     content=body,
@@ -303,8 +341,19 @@
                 detail = type(error).__name__
             else:
                 return self._check_status(operation, response)
+        if scope.cancelled_caught:
+            await self._replace(connections)
         return self._fail(operation, detail, had_no_effect=False)
 
+    async def _replace(self, connections: StoreConnections) -> None:
+        """Makes the next call open a new connection.
+
+        The other kept connections may be as silent as the one that timed out.
+        """
+        if connections is self._connections:
+            self._connections = StoreConnections()
+        await connections.retire()
+
     def _check_status(
         self, operation: str, response: httpcore.Response
     ) -> Result[tuple[int, bytes], StoreError]:
--- a/kingcupvane/tests/test_platform_store.py
+++ b/kingcupvane/tests/test_platform_store.py
@@ -13,6 +13,7 @@
 from kingcupvane.platform.store import PlatformStore
 from kingcupvane.process.item import Item
 from kingcupvane.process.store import Conflict, HistoryCompacted
+from kingcupvane.tests.silent_link import SilentLink
 
 
 def encode_value(text):
@@ -60,6 +61,39 @@
     return calls
 
 
+def test_call_after_a_silent_connection_opens_a_new_one():
+    """The kept connections of the pool were tried one after the other."""
+
+    async def handle(request, send):
+        await trio.sleep(0.02)
+        item = {"key": "a", "value": encode_value("x"), "revision": 4}
+        await asgi.json_response(item).send(send)
+
+    async def serve(stop, task_status):
+        await listener.serve(
+            handle, address="127.0.0.1:0", stop=stop, task_status=task_status
+        )
+
+    async def main():
+        stop = trio.Event()
+        async with trio.open_nursery() as nursery:
+            urls = await nursery.start(serve, stop)
+            link = SilentLink(port=int(urls[0].rpartition(":")[2]))
+            await nursery.start(link.run)
+            store = PlatformStore(address=link.address, timeout_s=0.3)
+            async with trio.open_nursery() as calls:
+                for _ in range(3):
+                    calls.start_soon(store.get, "a")
+            assert link.opened == 3
+            link.silence()
+            assert (await store.get("a")).err_value.detail == "timeout"
+            assert (await store.get("a")).is_ok()
+            await store.close()
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
 def test_get_returns_the_item_or_an_absent_one():
     def respond(method, path, query, body):
         if query["key"] == "none":
