--- a/kingcupvane/tests/test_platform_gateway.py
+++ b/kingcupvane/tests/test_platform_gateway.py
@@ -1,6 +1,7 @@
 """Tests of whole gateways with the platform adapter and a store in memory."""
 
 import json
+import re
 import signal
 import socket
 import time
@@ -559,3 +560,40 @@
         assert len(served) == 1
 
     harness.run_gateway(check)
+
+
+def test_target_that_names_a_limit_gets_no_more_than_that(harness):
+    """Targets in need got all requests that they did not shed."""
+    served_at = []
+
+    async def respond(stream):
+        while data := await read_request(stream):
+            served_at.append(trio.current_time())
+            attempt = re.search(rb"(?i)%s: (\S+)" % NAMES.attempt, data)[1]
+            await stream.send_all(
+                b"HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nserver-limit: 2.5"
+                b"\r\ncontent-length: 0\r\n\r\n"
+                % (NAMES.attempt, attempt, NAMES.stamp)
+            )
+
+    harness.target = ScriptedTarget(respond)
+
+    async def check(harness):
+        harness.put_plan()
+        await harness.wait_until(harness.is_ready)
+        assert (await harness.send_request())[0] == 200
+        started_at = trio.current_time()
+        refused = 0
+        while trio.current_time() - started_at < 4.0:
+            sent_at = trio.current_time()
+            status, body = await harness.send_request()
+            if status == 503:
+                refused += 1
+                assert trio.current_time() - sent_at < 0.5
+                assert b"limit" in body
+            await trio.sleep(0.02)
+        assert len(served_at) <= 1.5 * 2.5 * 4.0 + 5
+        assert len(served_at) >= 0.7 * 2.5 * 4.0
+        assert refused > 50
+
+    harness.run_gateway(check)
