Targets get no more than the limit that they name, from all gateways together

Cause: the header was not read. Class: a target's word is heard by one gateway and not held by the fleet.

Change: TargetLimits, without I/O, puts each limit that a target names into DistributedQuota, beside those of accounts: divided by demand, taken at once, told in the same reports and summaries, with the same care for silent peers and restarts. A usage row also tells the rate, so that a gateway keeps to a limit that only its peers have heard. What doesn't fit goes to the other targets of the service, or is refused at once with the time until there is room; spillover counts a limited target as less room; retries count. A limit ends with a success that names none, if its request was sent after the limit was heard, with the target's process, or after 300 s. Values that are no decimal number are logged and ignored; 0 counts as 0.25/s, since only responses tell of an end.

One change to the division of all limits: while the reported demand exceeds 1.25 times the rate, a gateway takes only a share (rate + surplus) / demand of its requests from the shared bucket.

--- a/kingcupvane/platform/names.py
+++ b/kingcupvane/platform/names.py
@@ -11,8 +11,9 @@
     load=b"kingcupvane-server-load",
     not_executed=b"kingcupvane-not-executed",
     stamp=b"kingcupvane-server-stamp",
-    # The users name it without the prefix that their other headers have.
+    # The users name these two without the prefix of their other headers.
     leaving=frozenset({b"server-leaving", b"kingcupvane-server-leaving"}),
+    limit=frozenset({b"server-limit", b"kingcupvane-server-limit"}),
     affinity_cookie="Kingcupvane-Affinity-Key",
     auth_scheme="Token",
     ready_path="/readyz",
--- a/kingcupvane/process/catalog.py
+++ b/kingcupvane/process/catalog.py
@@ -23,9 +23,14 @@
     ServiceTimeEstimate,
     TargetView,
 )
-from kingcupvane.request.quota import DemandEstimator
+from kingcupvane.request.quota import DemandEstimator, DistributedQuota
 from kingcupvane.request.slow_start import SlowStartLimiter
-from kingcupvane.request.spillover import RegionLoad, SpilloverController
+from kingcupvane.request.spillover import (
+    RegionLoad,
+    SpilloverController,
+    usable_slots,
+)
+from kingcupvane.request.target_limits import TargetLimits
 from kingcupvane.version.plan import (
     RegisteredTarget,
     RolloutRecord,
@@ -131,17 +136,25 @@
         rollout_records_by_service: Rollout records in the store.
         service_time_by_service: Estimated service time of requests.
         slow_start: Limits the rate of requests to cold targets.
+        target_limits: Rate limits that targets have named.
         peer_requests: Requests of other gateways in flight at the targets.
     """
 
     def __init__(
-        self, *, name: str, locality: Locality, clock: Clock, timeline: Timeline
+        self,
+        *,
+        name: str,
+        locality: Locality,
+        quota: DistributedQuota,
+        clock: Clock,
+        timeline: Timeline,
     ):
         """Makes an empty catalog.
 
         Args:
             name: Name of this gateway.
             locality: Its region and data centre.
+            quota: Divides the targets' rate limits among the gateways.
             clock: Monotonic clock.
             timeline: Log of changes.
         """
@@ -154,6 +167,9 @@
         self.rollout_records_by_service: dict[str, RolloutRecord] = {}
         self.service_time_by_service: dict[str, ServiceTimeEstimate] = {}
         self.slow_start = SlowStartLimiter(name=name)
+        self.target_limits = TargetLimits(
+            quota=quota, log_event=timeline.record
+        )
         self.peer_requests = PeerRequests(apply_count=self._set_peer_in_flight)
         self._views_by_name: dict[str, TargetView] = {}
         self._views_by_service: dict[str, list[TargetView]] = {}
@@ -188,9 +204,15 @@
                 self._remove_target(key.rpartition("/")[2])
 
     def apply_announcement(
-        self, view: TargetView, announcement: Announcement
+        self, view: TargetView, announcement: Announcement, *, sent_at: float
     ) -> None:
-        """Applies what a target's response announced."""
+        """Applies what a target's response announced.
+
+        Args:
+            view: The target.
+            announcement: What its response announced.
+            sent_at: Monotonic time at which the request was sent, in seconds.
+        """
         target = view.target
         if announcement.invalid_retry_after:
             self._timeline.record(
@@ -199,6 +221,19 @@
                 value=announcement.invalid_retry_after,
                 used_s=announcement.deferral_s,
             )
+        if announcement.invalid_rate_limit:
+            self._timeline.record(
+                "target-limit-invalid",
+                target=target.name,
+                value=announcement.invalid_rate_limit,
+            )
+        if announcement.lifts_rate_limit or announcement.rate_limit is not None:
+            self.target_limits.hear(
+                target,
+                announcement.rate_limit,
+                sent_at=sent_at,
+                now=self._clock.now(),
+            )
         if announcement.is_leaving:
             self.mark_leaving(instance_of(target), source=target.name)
         if announcement.deferral_s > 0.0:
@@ -342,16 +377,26 @@
         """
         now = self._clock.now()
         for service, views in self._views_by_service.items():
+            service_time_s = self.service_time(service).warm_service_s
             slots: dict[str, int] = {}
+            used_slots: dict[str, float] = {}
             for view in views:
                 if self._is_usable(view, now):
-                    region = view.target.region
-                    slots[region] = slots.get(region, 0) + view.target.slots
+                    target = view.target
+                    region = target.region
+                    slots[region] = slots.get(region, 0) + target.slots
+                    used_slots[region] = used_slots.get(region, 0.0) + (
+                        usable_slots(
+                            target.slots,
+                            rate_limit=self.target_limits.rate(target),
+                            service_time_s=service_time_s,
+                        )
+                    )
             regions = {*slots, self.locality.region}
             loads = {
                 region: RegionLoad(
                     demand=demand_by_region.get(region, {}).get(service, 0.0),
-                    slots=slots.get(region, 0),
+                    slots=used_slots.get(region, 0.0),
                 )
                 for region in regions
             }
@@ -359,9 +404,7 @@
             if controller is None:
                 controller = SpilloverController(region=self.locality.region)
                 self._spillover_by_service[service] = controller
-            shares = controller.update(
-                loads, service_time_s=self.service_time(service).warm_service_s
-            )
+            shares = controller.update(loads, service_time_s=service_time_s)
             weights = {
                 region: share / max(1, slots.get(region, 0))
                 for region, share in shares.by_region.items()
--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -3,6 +3,7 @@
 import signal
 from collections.abc import Callable
 from functools import partial
+from itertools import chain
 from typing import Protocol
 
 import msgspec
@@ -154,17 +155,20 @@
         )
         self._peers = PeerTable(own=own)
         self._mirror = Mirror(prefix="")
+        self._quota = DistributedQuota(
+            now=now,
+            name=settings.name,
+            is_initial_deployment=settings.first_start,
+        )
         self._catalog = Catalog(
             name=settings.name,
             locality=Locality(
                 data_centre=settings.data_centre, region=settings.region
             ),
+            quota=self._quota,
             clock=self._clock,
             timeline=self._timeline,
         )
-        self._quota = DistributedQuota(
-            now=now, is_initial_deployment=settings.first_start
-        )
         self._retry_settings = RetrySettings()
         self._crashes = CrashRegistry(settings=self._retry_settings)
         self._rollout_states = RolloutStates()
@@ -434,8 +438,13 @@
                 self._catalog.mark_store_unreachable()
             self._catalog.remove_expired_targets()
             self._catalog.end_deferrals()
+            self._catalog.target_limits.update(now)
             self._quota.update_shares(
-                self._catalog.plan.accounts_by_name.values(), now
+                chain(
+                    self._catalog.plan.accounts_by_name.values(),
+                    self._catalog.target_limits.limits(),
+                ),
+                now,
             )
             self._caller_server_state.keep_alive_s = (
                 self._catalog.plan.limits.idle_timeout_s
@@ -480,7 +489,13 @@
         for service, count in self._catalog.deferred_counts().items():
             metrics.targets_deferred.set({"service": service}, count)
         for account, tokens in self._quota.tokens_by_account().items():
-            metrics.quota_left.set({"account": account}, round(tokens, 1))
+            if account in self._catalog.plan.accounts_by_name:
+                metrics.quota_left.set({"account": account}, round(tokens, 1))
+        for (
+            target,
+            rate,
+        ) in self._catalog.target_limits.rates_by_target().items():
+            metrics.target_limits.set({"target": target}, rate)
         for service, remaining in self._retry_budgets.remaining().items():
             metrics.retry_budget.set({"service": service}, round(remaining, 1))
         if self._log_buffer is not None:
--- a/kingcupvane/process/metrics.py
+++ b/kingcupvane/process/metrics.py
@@ -133,6 +133,10 @@
             "kingcupvane_targets_deferred",
             "Targets that asked this gateway to wait, by service.",
         )
+        self.target_limits = self._gauge(
+            "kingcupvane_target_limit_requests",
+            "Requests a second that a target named as its limit; 0 for none.",
+        )
         self.quota_left = self._gauge(
             "kingcupvane_quota_left_requests",
             "Requests left in the bucket of each client account.",
--- a/kingcupvane/process/summary.py
+++ b/kingcupvane/process/summary.py
@@ -77,8 +77,13 @@
                 demand.
         """
         demand_by_account: dict[str, float] = {}
+        rate_by_account: dict[str, float] = {}
         for usage_by_account in reported:
             for account, usage in usage_by_account.items():
+                if usage.rate > 0.0:
+                    rate_by_account[account] = min(
+                        usage.rate, rate_by_account.get(account, usage.rate)
+                    )
                 before = demand_by_account.get(account, 0.0)
                 demand_by_account[account] = before + usage.demand
         accounts = {*demand_by_account, *self._admitted_by_account}
@@ -86,6 +91,7 @@
             account: AccountUsage(
                 round(demand_by_account.get(account, 0.0), 1),
                 self._admitted_by_account.get(account, 0),
+                rate_by_account.get(account, 0.0),
             )
             for account in sorted(accounts)
         }
--- a/kingcupvane/request/announcements.py
+++ b/kingcupvane/request/announcements.py
@@ -15,6 +15,7 @@
 
 from kingcupvane.connection.target_connection import WireResponse
 from kingcupvane.request.placement import ReportedLoad
+from kingcupvane.request.target_limits import parse_rate
 from kingcupvane.version.plan import RegisteredTarget
 
 RETRY_AFTER_HEADER = b"retry-after"
@@ -56,21 +57,33 @@
             seconds; 0 for none.
         invalid_retry_after: The value of a Retry-After header that is ignored
             or shortened; empty if the header is valid or missing.
+        rate_limit: Requests per second that it takes from all gateways
+            together; None if it names no limit.
+        lifts_rate_limit: Whether a limit that it named before has ended; only
+            a success without the header tells that.
+        invalid_rate_limit: The value of a limit header that is ignored; empty
+            if the header is valid or missing.
     """
 
     is_leaving: bool
     deferral_s: float
     invalid_retry_after: str
+    rate_limit: float | None = None
+    lifts_rate_limit: bool = False
+    invalid_rate_limit: str = ""
 
 
 def read_announcement(
-    response: WireResponse, leaving_headers: Container[bytes]
+    response: WireResponse,
+    leaving_headers: Container[bytes],
+    limit_headers: Container[bytes] = (),
 ) -> Announcement:
     """Returns what a response announces about the target that sent it.
 
     Args:
         response: A response of the target.
         leaving_headers: Names of the headers that announce the target's stop.
+        limit_headers: Names of the headers that hold the target's rate limit.
     """
     deferral_s = 0.0
     invalid = ""
@@ -80,6 +93,17 @@
         deferral_s = min(DEFERRAL_MAX_S, max(0.0, requested_s))
         if deferral_s != requested_s:
             invalid = value.decode("latin-1")
+    rates = []
+    invalid_rate_limit = ""
+    for name, limit in response.headers:
+        if name not in limit_headers:
+            continue
+        rate = parse_rate(limit)
+        if rate is None:
+            invalid_rate_limit = limit.decode("latin-1")
+        else:
+            rates.append(rate)
+    rate_limit = min(rates, default=None)
     return Announcement(
         is_leaving=any(
             name in leaving_headers and flag.strip() != b"0"
@@ -87,6 +111,13 @@
         ),
         deferral_s=deferral_s,
         invalid_retry_after=invalid,
+        rate_limit=rate_limit,
+        lifts_rate_limit=(
+            HTTPStatus.OK <= response.status < HTTPStatus.MULTIPLE_CHOICES
+            and rate_limit is None
+            and not invalid_rate_limit
+        ),
+        invalid_rate_limit=invalid_rate_limit,
     )
 
 
--- a/kingcupvane/request/gateway_request.py
+++ b/kingcupvane/request/gateway_request.py
@@ -34,6 +34,8 @@
         stamp: Present on each response that the target itself produced.
         leaving: Headers that announce the stop of the responding target, each
             on its own.
+        limit: Headers with the requests per second that the responding target
+            takes from all gateways together.
         affinity_cookie: Cookie that holds the affinity key.
         auth_scheme: Authentication scheme in the Authorization header.
         ready_path: Path of the readiness check.
@@ -52,6 +54,7 @@
     not_executed: bytes
     stamp: bytes
     leaving: frozenset[bytes]
+    limit: frozenset[bytes]
     affinity_cookie: str
     auth_scheme: str
     ready_path: str
@@ -61,6 +64,11 @@
     lookup_addresses: str
     lookup_ttl: str
 
+    @property
+    def announcements(self) -> frozenset[bytes]:
+        """Headers of targets that are meant for the gateways only."""
+        return self.leaving | self.limit
+
 
 @dataclass(kw_only=True, slots=True)
 class GatewayRequest:
--- a/kingcupvane/request/pipeline.py
+++ b/kingcupvane/request/pipeline.py
@@ -272,7 +272,9 @@
             if candidate is None:
                 return Err(
                     self._final_refusal(
-                        gateway_request, last, "no target is free"
+                        gateway_request,
+                        last,
+                        self._explain_no_target(gateway_request.service),
                     )
                 )
             limit_s = allowed_wait_s(
@@ -360,6 +362,17 @@
             detail=detail,
         )
 
+    def _explain_no_target(self, service: str) -> str:
+        limits = self._catalog.target_limits
+        views = self._catalog.views(service)
+        limited = sum(limits.is_limited(view.target) for view in views)
+        if not limited:
+            return "no target is free"
+        return (
+            "no target is free,"
+            f" {limited} of {len(views)} have a limit of their own"
+        )
+
     def _slot_retry_after_s(self, gateway_request: GatewayRequest) -> float:
         """Returns the Retry-After until a target should have a free slot."""
         now = self._clock.now()
@@ -372,7 +385,10 @@
             queue_wait_s = (
                 queued * service_time.warm_service_s / view.target.slots
             )
-            waits_s.append(max(queue_wait_s, view.deferred_until - now))
+            limit_wait_s = self._catalog.target_limits.wait_s(view.target, now)
+            waits_s.append(
+                max(queue_wait_s, view.deferred_until - now, limit_wait_s)
+            )
         return retry_after_s(
             min(waits_s, default=NO_TARGET_WAIT_S),
             caller_attempt_id=gateway_request.id,
@@ -407,7 +423,8 @@
         headers = [
             (name, value)
             for name, value in response.headers
-            if name != b"content-length" and name not in self._names.leaving
+            if name != b"content-length"
+            and name not in self._names.announcements
         ]
         headers.append((b"content-length", str(len(response.body)).encode()))
         self._record_outcome(gateway_request, "answered", status)
--- a/kingcupvane/request/quota.py
+++ b/kingcupvane/request/quota.py
@@ -1,4 +1,7 @@
-"""Rate limit of a client account across all gateways, without a leader.
+"""Rate limits across all gateways, without a leader.
+
+The limits are those of client accounts and those that targets name; what is
+said of accounts here holds for targets, too.
 
 Load pattern: an account's callers use some of the gateways and move between
 them, and most accounts send little, so that a fixed share per gateway would be
@@ -20,11 +23,12 @@
 import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from typing import Protocol
 
 import msgspec
 
+from kingcupvane.hashing import stable_hash
 from kingcupvane.request.token_bucket import TokenBucket
-from kingcupvane.version.plan import AccountPlan
 
 # Time constant of the moving average of demand, in seconds.
 DEMAND_TIME_CONSTANT_S = 1.0
@@ -44,6 +48,17 @@
 # deployment.
 STARTUP_S = 2.0
 STARTUP_SHARE_MAX = 0.1
+# Demand from which a limit counts as exceeded, relative to its rate; the
+# estimate of a demand within the rate varies by less.
+EXCEEDED_RATIO = 1.25
+# Requests that a gateway may take from a bucket above its reserve between two
+# updates of the shares, however small its share is, unless the limit is
+# exceeded.
+ALLOWANCE_MIN = 2.0
+# Time over which the tokens above the reserve are spent while the limit is
+# exceeded, in seconds.
+SURPLUS_S = 1.0
+HASH_RANGE = 2.0**64
 # Retry-After for an account whose demand exceeds its rate, in seconds.
 OVERLOADED_RETRY_S = 1.0
 # Factor on a gateway's rate while the bucket is in debt, or would be if silent
@@ -51,9 +66,6 @@
 DEBT_RATE_FACTOR = 0.8
 # Share of the burst below which gateways keep to their own share of the rate.
 RESERVE_SHARE = 0.25
-# Requests that a gateway may take from a bucket above its reserve between two
-# updates of the shares, however small its share is.
-ALLOWANCE_MIN = 2.0
 # Lower bound of the reserve, in requests.
 RESERVE_MIN = 2.0
 # Fraction of its share that a gateway leaves unused when all peers are silent,
@@ -68,16 +80,41 @@
 DEBT_MAX_S = 2.0
 
 
+class RateLimit(Protocol):
+    """A limit that all gateways hold together; replaced when it changes.
+
+    Attributes:
+        name: Name among all limits.
+        rate: Requests per second over all gateways; 0 for no limit.
+        burst: Token bucket size over all gateways, in requests.
+    """
+
+    @property
+    def name(self) -> str:  # noqa: D102
+        ...
+
+    @property
+    def rate(self) -> float:  # noqa: D102
+        ...
+
+    @property
+    def burst(self) -> float:  # noqa: D102
+        ...
+
+
 class AccountUsage(msgspec.Struct, frozen=True, array_like=True):
     """A gateway's report on one account.
 
     Attributes:
         demand: Requests per second that the account sends to the gateway.
         admitted: Requests admitted since the gateway's start.
+        rate: Limit that a target has named to the gateway, in requests per
+            second; 0 for an account.
     """
 
     demand: float
     admitted: int
+    rate: float = 0.0
 
 
 class DemandEstimator:
@@ -198,7 +235,10 @@
         tokens: Tokens in the copy; negative for a debt.
         updated_at: Time up to which the copy is refilled, in monotonic seconds.
         allowance: Requests that may still be taken from the copy before the
-            next update of the shares.
+            next update of the shares, unless the limit is exceeded.
+        fraction: Part of a request that was saved up while the limit is
+            exceeded: only one in several may be taken from the copy then.
+        peer_demand: Demand of all peers that report, in requests per second.
         reserve: Tokens below which only `local_bucket` is used.
         admitted: Requests admitted since the start.
         share: This gateway's share of the limit, 0 to 1.
@@ -207,12 +247,14 @@
         estimates_by_peer: Assumed usage of each peer.
     """
 
-    plan: AccountPlan
+    plan: RateLimit
     demand: DemandEstimator
     local_bucket: TokenBucket
     tokens: float
     updated_at: float
     allowance: float = 0.0
+    fraction: float = 0.0
+    peer_demand: float = 0.0
     reserve: float = 0.0
     admitted: int = 0
     share: float = 0.0
@@ -221,16 +263,30 @@
 
 
 class DistributedQuota:
-    """Admits requests of client accounts within their rate limits."""
+    """Admits requests within the rate limits of accounts and targets.
+
+    Attributes:
+        announced_rates: Rates to tell the peers, by limit, since they have no
+            other source of them.
+    """
 
-    def __init__(self, *, now: float, is_initial_deployment: bool = False):
+    def __init__(
+        self,
+        *,
+        now: float,
+        name: str = "",
+        is_initial_deployment: bool = False,
+    ):
         """Starts without peers and demand.
 
         Args:
             now: Monotonic seconds.
+            name: Name of this gateway, by which it differs from others in the
+                requests that it takes first from an exceeded limit.
             is_initial_deployment: Whether all gateways start for the first
                 time: nothing was spent yet, so buckets start full, not empty.
         """
+        self._name = name
         self._initial_fill_share = 1.0 if is_initial_deployment else 0.0
         startup_s = 0.0 if is_initial_deployment else STARTUP_S
         self._startup_ends_at = now + startup_s
@@ -238,6 +294,7 @@
         self._peers_by_name: dict[str, _Peer] = {}
         self._peer_demand_by_account: dict[str, float] = {}
         self._gateway_count = 1
+        self.announced_rates: Mapping[str, float] = {}
 
     def update_peer(
         self,
@@ -393,45 +450,111 @@
         usage_by_account = {}
         for name, account in self._accounts_by_name.items():
             demand = account.demand.rate(now) if account.is_active else 0.0
-            if account.admitted or demand > ACTIVE_DEMAND_MIN:
+            rate = self.announced_rates.get(name, 0.0)
+            if account.admitted or rate or demand > ACTIVE_DEMAND_MIN:
                 usage_by_account[name] = AccountUsage(
-                    round(demand, 2), account.admitted
+                    round(demand, 2), account.admitted, rate
                 )
         return usage_by_account
 
-    def admit(self, plan: AccountPlan, now: float) -> bool:
+    def announced_by_peers(self) -> dict[str, float]:
+        """Returns the lowest rate that peers tell, by limit."""
+        rates: dict[str, float] = {}
+        for peer in self._peers_by_name.values():
+            for name, usage in peer.usage_by_account.items():
+                if usage.rate > 0.0:
+                    rates[name] = min(usage.rate, rates.get(name, math.inf))
+        return rates
+
+    def has_room(self, limit: RateLimit, now: float) -> bool:
+        """Returns whether `admit` would admit a request.
+
+        One that it would refuse counts as demand.
+        """
+        if limit.rate <= 0.0:
+            return True
+        account = self._active_account(limit, now)
+        self._advance(account, now)
+        has_room = self._has_room(account, now)
+        if not has_room:
+            self._record_refusal(account, now)
+        return has_room
+
+    def admit(self, plan: RateLimit, now: float) -> bool:
         """Counts a request and returns whether it is within the limit."""
-        account = self._account(plan, now)
-        if not account.is_active and plan.rate > 0.0:
-            account.local_bucket.keep_share(
-                min(1.0, SAVED_TOKENS_MAX / self._gateway_count), now
-            )
-            self._update_share(account, now)
-        account.is_active = True
-        account.demand.add(now)
+        account = self._active_account(plan, now)
         if plan.rate <= 0.0:
+            account.demand.add(now)
             return True
         self._advance(account, now)
-        within_allowance = (
-            account.tokens >= account.reserve and account.allowance >= 1.0
-        )
-        if within_allowance and now >= self._startup_ends_at:
-            account.allowance -= 1.0
+        if self._may_take(account, now):
+            self._take(account, now)
         elif not account.local_bucket.try_acquire(now):
+            self._record_refusal(account, now)
             return False
+        account.demand.add(now)
         account.tokens -= 1.0
         account.admitted += 1
         return True
 
-    def wait_s(self, plan: AccountPlan, now: float) -> float:
+    def _active_account(self, limit: RateLimit, now: float) -> _Account:
+        account = self._account(limit, now)
+        if not account.is_active and limit.rate > 0.0:
+            account.local_bucket.keep_share(
+                min(1.0, SAVED_TOKENS_MAX / self._gateway_count), now
+            )
+            self._update_share(account, now)
+        account.is_active = True
+        return account
+
+    def _has_room(self, account: _Account, now: float) -> bool:
+        return (
+            self._may_take(account, now)
+            or account.local_bucket.wait_s(now) <= 0.0
+        )
+
+    def _record_refusal(self, account: _Account, now: float) -> None:
+        account.fraction += self._admitted_share(account, now)
+        account.demand.add(now)
+
+    def _may_take(self, account: _Account, now: float) -> bool:
+        """Returns whether a request may be taken from the copy now."""
+        if account.tokens < account.reserve or now < self._startup_ends_at:
+            return False
+        share = self._admitted_share(account, now)
+        if share >= 1.0:
+            return account.allowance >= 1.0
+        return account.fraction + share >= 1.0
+
+    def _take(self, account: _Account, now: float) -> None:
+        share = self._admitted_share(account, now)
+        account.allowance -= 1.0
+        account.fraction = max(0.0, account.fraction + share - 1.0)
+
+    def _admitted_share(self, account: _Account, now: float) -> float:
+        """Returns the share of requests that may be taken from the copy.
+
+        It is below 1 while the limit is exceeded. Gateways that do not know of
+        each other's latest requests would else take the same tokens.
+        """
+        demand = account.peer_demand + account.demand.rate(now)
+        if demand <= EXCEEDED_RATIO * account.plan.rate:
+            return 1.0
+        surplus = max(0.0, account.tokens - account.reserve)
+        return min(1.0, (account.plan.rate + surplus / SURPLUS_S) / demand)
+
+    def wait_s(self, plan: RateLimit, now: float) -> float:
         """Returns the delay before a refused request's retry, in seconds.
 
-        While the demand exceeds the account's rate, a fixed delay is returned:
-        requests that are retried sooner would find the tokens spent.
+        It is 0 when a request would be admitted now. While the demand exceeds
+        the account's rate, a fixed delay is returned: requests that are retried
+        sooner would find the tokens spent.
         """
         if plan.rate <= 0.0:
             return 0.0
         account = self._account(plan, now)
+        if self._has_room(account, now):
+            return 0.0
         if self._reported_demand(plan, now) > plan.rate:
             return OVERLOADED_RETRY_S
         return account.local_bucket.wait_s(now)
@@ -443,7 +566,7 @@
             for name, account in self._accounts_by_name.items()
         }
 
-    def explain(self, plan: AccountPlan, now: float) -> str:
+    def explain(self, plan: RateLimit, now: float) -> str:
         """Returns the figures behind an admission decision, as text."""
         account = self._account(plan, now)
         return (
@@ -454,11 +577,11 @@
             f" peers {len(account.estimates_by_peer)}"
         )
 
-    def update_shares(self, plans: Iterable[AccountPlan], now: float) -> None:
+    def update_shares(self, plans: Iterable[RateLimit], now: float) -> None:
         """Recomputes this gateway's share of each limit; drops stale peers.
 
         Args:
-            plans: All client accounts; others are removed.
+            plans: All limits; others are removed.
             now: Monotonic seconds.
         """
         for name, peer in list(self._peers_by_name.items()):
@@ -494,19 +617,19 @@
             for peer in new:
                 peer.demands = demands
 
-    def _demand_floor(self, plan: AccountPlan) -> float:
+    def _demand_floor(self, plan: RateLimit) -> float:
         """Returns the demand that each gateway has at least, per second."""
         share = min(
             DEMAND_FLOOR_SHARE, DEMAND_FLOOR_TOTAL_SHARE / self._gateway_count
         )
         return share * plan.rate
 
-    def _own_demand(self, plan: AccountPlan, now: float) -> float:
+    def _own_demand(self, plan: RateLimit, now: float) -> float:
         account = self._accounts_by_name.get(plan.name)
         demand = account.demand.rate(now) if account is not None else 0.0
         return self._demand_floor(plan) + demand
 
-    def _reported_demand(self, plan: AccountPlan, now: float) -> float:
+    def _reported_demand(self, plan: RateLimit, now: float) -> float:
         """Returns the demand at this gateway and all peers that report."""
         floor = self._demand_floor(plan)
         demand = self._own_demand(plan, now)
@@ -515,7 +638,7 @@
                 demand += peer.demand(plan.name, floor)
         return demand
 
-    def _account(self, plan: AccountPlan, now: float) -> _Account:
+    def _account(self, plan: RateLimit, now: float) -> _Account:
         account = self._accounts_by_name.get(plan.name)
         if account is None:
             account = _Account(
@@ -523,6 +646,7 @@
                 demand=DemandEstimator(now=now),
                 local_bucket=TokenBucket(now=now),
                 tokens=self._initial_fill_share * plan.burst,
+                fraction=stable_hash(f"{self._name}/{plan.name}") / HASH_RANGE,
                 updated_at=now,
             )
             self._accounts_by_name[plan.name] = account
@@ -612,6 +736,7 @@
         silent_share = min(1.0, silent_share)
         share = max(0.0, 1.0 - fixed_share) * own / (own + unfixed_demand)
         share *= 1.0 - PARTITION_MARGIN_SHARE * silent_share
+        account.peer_demand = reported_demand - own
         if now < self._startup_ends_at:
             share = min(STARTUP_SHARE_MAX, share)
         account.share = share
--- a/kingcupvane/request/selection.py
+++ b/kingcupvane/request/selection.py
@@ -156,9 +156,11 @@
             is_new = target.version == spec.version
             if is_new != (cohort == NEW_COHORT):
                 return False
-        return self._catalog.slow_start.may_use(
+        if not self._catalog.slow_start.may_use(
             target.name, self._gateways(), now
-        )
+        ):
+            return False
+        return self._catalog.target_limits.may_use(target, now)
 
 
 def _is_region_allowed(region: str, gateway_request: GatewayRequest) -> bool:
--- a/kingcupvane/request/sending.py
+++ b/kingcupvane/request/sending.py
@@ -124,6 +124,7 @@
         catalog.slow_start.record_request(
             target.name, rate=catalog.cold_rate(target.service), now=started_at
         )
+        catalog.target_limits.record_request(target, started_at)
         view.record_start(gateway_request.affinity_key, started_at)
         attempt = Attempt(outcome=AttemptOutcome.CANCELLED)
         try:
@@ -287,9 +288,12 @@
             connection.has_carried_refusal = True
         await self._pool.release(target.name, connection)
         if response.status != HTTPStatus.MISDIRECTED_REQUEST:
-            self._catalog.apply_announcement(
-                view, read_announcement(response, self._names.leaving)
+            announcement = read_announcement(
+                response,
+                leaving_headers=self._names.leaving,
+                limit_headers=self._names.limit,
             )
+            self._catalog.apply_announcement(view, announcement, sent_at=now)
         return attempt
 
     def _is_response_to(
--- a/kingcupvane/request/spillover.py
+++ b/kingcupvane/request/spillover.py
@@ -29,11 +29,12 @@
 
     Attributes:
         demand: Requests per second of the region's callers.
-        slots: Total slots of the region's usable targets.
+        slots: Total slots of the region's usable targets, without those that
+            a rate limit leaves unused.
     """
 
     demand: float
-    slots: int
+    slots: float
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -48,6 +49,24 @@
     by_region: Mapping[str, float]
 
 
+def usable_slots(
+    slots: int, *, rate_limit: float, service_time_s: float
+) -> float:
+    """Returns how many of a target's slots its rate limit allows to be used.
+
+    A target may be used up to its limit, but only up to a share of its slots,
+    so the limit counts for more slots than it keeps busy.
+
+    Args:
+        slots: Slots of the target.
+        rate_limit: Its limit in requests per second, infinite if none.
+        service_time_s: Service time of a request, in seconds.
+    """
+    return min(
+        float(slots), rate_limit * service_time_s / SPILLOVER_UTILIZATION_MAX
+    )
+
+
 class SpilloverController:
     """Controls which share of one service's requests is served locally."""
 
--- a/kingcupvane/tests/test_announcements.py
+++ b/kingcupvane/tests/test_announcements.py
@@ -112,3 +112,33 @@
         AttemptOutcome.ANSWERED, latency_ratio=1.0, reported=None, now=1.7
     )
     assert not view.is_avoided(1.7)
+
+
+def announce_limit(status, value):
+    response = WireResponse(
+        status=status, headers=[(b"limit", value)], body=b""
+    )
+    return read_announcement(response, (), frozenset({b"limit"}))
+
+
+def test_limit_is_read_from_any_response_and_lifted_by_a_success_only():
+    assert announce_limit(200, b"2.5").rate_limit == 2.5
+    assert announce_limit(503, b"2.5").rate_limit == 2.5
+    assert not announce_limit(200, b"2.5").lifts_rate_limit
+    assert announce(200).lifts_rate_limit
+    assert not announce(503).lifts_rate_limit
+    assert not announce(500).lifts_rate_limit
+
+
+def test_invalid_limit_is_named_and_neither_sets_nor_lifts_one():
+    announcement = announce_limit(200, b"many")
+    assert announcement.rate_limit is None
+    assert not announcement.lifts_rate_limit
+    assert announcement.invalid_rate_limit == "many"
+
+
+def test_lowest_of_several_limits_counts():
+    headers = [(b"limit", b"7"), (b"limit", b"2"), (b"limit", b"x")]
+    response = WireResponse(status=200, headers=headers, body=b"")
+    announcement = read_announcement(response, (), frozenset({b"limit"}))
+    assert announcement.rate_limit == 2.0
--- a/kingcupvane/tests/test_pipeline.py
+++ b/kingcupvane/tests/test_pipeline.py
@@ -48,6 +48,7 @@
     not_executed=b"not-executed",
     stamp=b"stamp",
     leaving=frozenset({b"leaving"}),
+    limit=frozenset({b"limit"}),
     affinity_cookie="object",
     auth_scheme="Token",
     ready_path="/ready",
@@ -156,15 +157,16 @@
         self.evidence = EvidenceCounter()
         self.logged_events = []
         self.metrics = GatewayMetrics()
+        self.quota = DistributedQuota(
+            now=clock.now(), is_initial_deployment=True
+        )
         self.catalog = Catalog(
             name="g",
             locality=Locality(data_centre="north-a", region="north"),
+            quota=self.quota,
             clock=clock,
             timeline=timeline,
         )
-        self.quota = DistributedQuota(
-            now=clock.now(), is_initial_deployment=True
-        )
         self.crashes = CrashRegistry(settings=RetrySettings())
         selector = TargetSelector(
             catalog=self.catalog,
@@ -701,3 +703,64 @@
     (unanswered,) = gateway.unanswered_exchanges
     assert unanswered.target == "t2"
     assert unanswered.sample.failed
+
+
+def limited_response(rate=b"0.5"):
+    return with_header(response(), b"limit", rate)
+
+
+def limit_all(gateway, rate):
+    for view in gateway.catalog.views_by_name().values():
+        gateway.catalog.target_limits.hear(
+            view.target, rate, sent_at=0.0, now=gateway.clock.now()
+        )
+
+
+def test_request_beyond_a_target_limit_goes_to_another_target(make_gateway):
+    gateway = make_gateway(
+        limited_response(),
+        *[limited_response(b"1000") for _ in range(39)],
+    )
+    assert all(gateway.send_request()[0] == 200 for _ in range(40))
+    first, *others = gateway.pool.target_names
+    assert others.count(first) <= 5
+    assert len(others) == 39
+
+
+def test_request_beyond_all_limits_is_refused_at_once_with_retry_after(
+    make_gateway,
+):
+    gateway = make_gateway(*[limited_response() for _ in range(40)])
+    limit_all(gateway, 0.5)
+    answers = [gateway.send_request() for _ in range(40)]
+    refused = [answer for answer in answers if answer[0] == 503]
+    assert len(refused) > 20
+    status, headers, body = refused[-1]
+    assert 0.0 < float(headers[b"retry-after"]) <= 2.0
+    assert b"3 of 3 have a limit" in body
+    assert len(gateway.pool.target_names) == 40 - len(refused)
+
+
+def test_retries_count_against_the_limit_of_a_target(make_gateway):
+    failures = [response(status=500) for _ in range(80)]
+    gateway = make_gateway(*failures)
+    limit_all(gateway, 0.5)
+    for number in range(20):
+        gateway.send_request(path=f"/r/{number}", attempt=f"id-{number}")
+    for name in ("t0", "t1", "t2"):
+        assert gateway.pool.target_names.count(name) <= 5
+
+
+def test_limit_in_a_response_holds_and_is_not_forwarded(make_gateway):
+    gateway = make_gateway(*[limited_response() for _ in range(40)])
+    answers = [gateway.send_request() for _ in range(40)]
+    assert b"limit" not in answers[0][1]
+    assert answers[-1][0] == 503
+    assert len(gateway.pool.target_names) <= 15
+
+
+def test_invalid_limit_is_logged_and_limits_nothing(make_gateway, timeline):
+    gateway = make_gateway(*[limited_response(b"many") for _ in range(40)])
+    assert all(gateway.send_request()[0] == 200 for _ in range(40))
+    kinds = [event.kind for event in timeline.since(Stamp())]
+    assert "target-limit-invalid" in kinds
--- a/kingcupvane/tests/test_quota.py
+++ b/kingcupvane/tests/test_quota.py
@@ -49,9 +49,11 @@
         self.incarnations = [1] * count
         self.gateways = [
             DistributedQuota(
-                now=0.0, is_initial_deployment=is_initial_deployment
+                now=0.0,
+                name=f"g{index}",
+                is_initial_deployment=is_initial_deployment,
             )
-            for _ in range(count)
+            for index in range(count)
         ]
         self._reported_at = 0.0
         self.admitted = []
@@ -59,7 +61,7 @@
 
     def restart(self, index):
         self.incarnations[index] += 1
-        self.gateways[index] = DistributedQuota(now=self.now)
+        self.gateways[index] = DistributedQuota(now=self.now, name=f"g{index}")
 
     def report(self):
         for i, sender in enumerate(self.gateways):
--- a/kingcupvane/tests/test_spillover.py
+++ b/kingcupvane/tests/test_spillover.py
@@ -1,10 +1,16 @@
 """Tests of the spillover of a region's requests to other regions."""
 
+from math import inf
+
+import pytest
+
 from kingcupvane.request.spillover import (
     LOCAL_UTILIZATION_MAX,
+    SPILLOVER_UTILIZATION_MAX,
     STEP_MAX,
     RegionLoad,
     SpilloverController,
+    usable_slots,
 )
 
 SERVICE_TIME_S = 0.1
@@ -68,3 +74,11 @@
         "south": RegionLoad(demand=0, slots=8),
     }
     assert run_controller(loads, steps=1)[-1] == {"north": 0.0, "south": 1.0}
+
+
+def test_rate_limits_of_targets_count_as_less_room():
+    """Half of the requests went to a region whose targets took a tenth."""
+    assert usable_slots(4, rate_limit=inf, service_time_s=0.25) == 4.0
+    limited = usable_slots(4, rate_limit=0.8, service_time_s=0.25)
+    assert limited == pytest.approx(0.2 / SPILLOVER_UTILIZATION_MAX)
+    assert usable_slots(4, rate_limit=1e6, service_time_s=0.25) == 4.0
