Tests: responses that end within their head are never complete

An operator's report: a target stopped in the middle of its answer's head and closed; callers got a 200 with an empty or short body, framed as whole. It can't happen here: for each cut of a head, with and without a length, on a first and on a kept connection, the gateway's and the entry's client report a broken exchange.

--- a/kingcupvane/tests/test_target_client.py
+++ b/kingcupvane/tests/test_target_client.py
@@ -86,3 +86,19 @@
         assert outcome.kind is ExchangeFailureKind.BROKEN
 
     run_with_target(handle, check)
+
+
+def test_response_that_ends_within_its_head_is_a_failure():
+    """Half a head must not become a success with a short body."""
+    whole = b"HTTP/1.1 200 OK\r\nx-stamp: s\r\nconnection: close\r\n\r\n"
+    cuts = iter(range(len(whole)))
+
+    async def handle(stream):
+        await read_request(stream)
+        await stream.send_all(whole[: next(cuts)])
+
+    async def check(exchange):
+        for _ in range(len(whole)):
+            assert isinstance(await exchange(), ExchangeFailure)
+
+    run_with_target(handle, check)
--- a/kingcupvane/tests/test_target_connection.py
+++ b/kingcupvane/tests/test_target_connection.py
@@ -278,3 +278,46 @@
         assert target.connections == 2
 
     run_with_target(clock, handle, check)
+
+
+def test_response_that_ends_within_its_head_or_body_is_never_complete(clock):
+    """Half a head must not become a success with a short body."""
+    whole = (
+        b"HTTP/1.1 200 OK\r\nstamp: s\r\ncontent-length: 12\r\n\r\nhello world!"
+    )
+    cuts = iter(range(len(whole)))
+
+    async def handle(stream):
+        if await read_request(stream):
+            await stream.send_all(whole)
+        if await read_request(stream):
+            await stream.send_all(whole[: next(cuts)])
+
+    async def check(pool, target):
+        for _ in range(len(whole)):
+            assert (await exchange(pool, target)).body == b"hello world!"
+            connection = await pool.acquire(
+                "t", target.address, is_idempotent=True
+            )
+            with pytest.raises(ExchangeBrokenError):
+                await connection.exchange(request())
+            await abort(connection.stream)
+
+    run_with_target(clock, handle, check)
+
+
+def test_head_without_a_length_that_breaks_off_is_never_complete(clock):
+    """Such a body ends with the connection, but only after a whole head."""
+    whole = b"HTTP/1.1 200 OK\r\nstamp: s\r\nconnection: close\r\n\r\n"
+    cuts = iter(range(len(whole)))
+
+    async def handle(stream):
+        await read_request(stream)
+        await stream.send_all(whole[: next(cuts)])
+
+    async def check(pool, target):
+        for _ in range(len(whole)):
+            with pytest.raises(ExchangeBrokenError):
+                await exchange(pool, target)
+
+    run_with_target(clock, handle, check)
