A stopping gateway refuses late requests that its end could cut

An operator's report: in a planned stop, requests that came late in the grace were taken and passed on, and cut with no answer at its end, among them ones that must not repeat.

It can happen here where a deadline reaches beyond the stop: connections are taken until 3.0 s after SIGTERM and a body may be complete later still; the request was sent to a target and cut 0.35 s before the end of the grace.

Change: from 2.7 s after SIGTERM a request goes to a target only if its deadline lies before the end of the stop; others are refused at once, not run, with Retry-After and Connection: close, so that the caller goes elsewhere.

Evidence: test_stopping_gateway_refuses_what_it_could_not_finish failed before (no answer, the target had the request).

--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -44,7 +44,7 @@
 from kingcupvane.process.supervisor import supervise
 from kingcupvane.process.timeline import HybridClock, Timeline
 from kingcupvane.request.gateway_request import WireNames
-from kingcupvane.request.pipeline import RequestPipeline, RetryBudgets
+from kingcupvane.request.pipeline import RequestPipeline, RetryBudgets, Shutdown
 from kingcupvane.request.placement import Locality
 from kingcupvane.request.quota import DistributedQuota
 from kingcupvane.request.retry import CrashRegistry, RetryBudget
@@ -66,6 +66,9 @@
 RECOVERY_MAX_S = 0.6
 # Time after SIGTERM from which no new connections are accepted, in seconds.
 STOP_ACCEPT_MAX_S = 3.0
+# Time after SIGTERM from which a request is refused unless its deadline lies
+# before the end of the stop, in seconds.
+LATE_REQUEST_S = 2.7
 MEBIBYTE = 1 << 20
 # Largest share of the process's memory that incomplete responses of targets may
 # hold together; small responses are accepted beyond it.
@@ -555,12 +558,14 @@
     async def _shut_down(self) -> None:
         """Keeps serving until callers have moved away or the time is up."""
         started_at = self._clock.now()
+        ends_at = started_at + self._settings.stop_grace_s - KILL_MARGIN_S
         self._is_leaving = True
-        self._pipeline.leaving = True
+        self._pipeline.shutdown = Shutdown(
+            late_from=started_at + LATE_REQUEST_S, ends_at=ends_at
+        )
         self._timeline.record(
             "leaving", active=self._pipeline.active_request_count
         )
-        ends_at = started_at + self._settings.stop_grace_s - KILL_MARGIN_S
         self._reporter.report_all()
         accept_until = min(ends_at, started_at + STOP_ACCEPT_MAX_S)
         # The listener ends once it has served what the kernel had accepted.
--- a/kingcupvane/request/pipeline.py
+++ b/kingcupvane/request/pipeline.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from http import HTTPStatus
 
 import trio
@@ -85,6 +86,20 @@
         return budget
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Shutdown:
+    """The times of a graceful stop, in monotonic seconds.
+
+    Attributes:
+        late_from: From then on, only requests whose deadline lies before
+            `ends_at` are sent to targets.
+        ends_at: Requests in progress are cut then.
+    """
+
+    late_from: float
+    ends_at: float
+
+
 class RequestPipeline:
     """Serves callers' requests at a gateway.
 
@@ -92,8 +107,8 @@
         active_request_count: Number of requests in progress.
         last_activity_at: Monotonic time at which a request last began or
             ended, in seconds.
-        leaving: Whether responses carry `Connection: close`, since the
-            gateway is draining.
+        shutdown: Times of the graceful stop; None before. Responses carry
+            `Connection: close` during it.
     """
 
     def __init__(
@@ -141,7 +156,7 @@
         self._picker = DestinationPicker()
         self.active_request_count = 0
         self.last_activity_at = float("-inf")
-        self.leaving = False
+        self.shutdown: Shutdown | None = None
 
     async def handle(self, request: asgi.HttpRequest, send: asgi.Send) -> None:
         """Serves one request and sends its response."""
@@ -268,6 +283,12 @@
                         gateway_request, last, "no time is left"
                     )
                 )
+            if self._would_be_cut(gateway_request, now):
+                return Err(
+                    self._final_refusal(
+                        gateway_request, last, "the gateway is stopping"
+                    )
+                )
             candidate = self._selector.select(gateway_request, now)
             if candidate is None:
                 return Err(
@@ -297,6 +318,17 @@
             if not self._is_retryable(gateway_request, last):
                 return self._final_result(gateway_request, last)
 
+    def _would_be_cut(
+        self, gateway_request: GatewayRequest, now: float
+    ) -> bool:
+        """Returns whether a stop may end before a request sent now does."""
+        shutdown = self.shutdown
+        return (
+            shutdown is not None
+            and now >= shutdown.late_from
+            and gateway_request.deadline > shutdown.ends_at
+        )
+
     def _is_retryable(
         self, gateway_request: GatewayRequest, last: Attempt
     ) -> bool:
@@ -517,7 +549,7 @@
         body: bytes,
         send: asgi.Send,
     ) -> None:
-        if self.leaving:
+        if self.shutdown is not None:
             headers.append((b"connection", b"close"))
         await send(
             {
--- a/kingcupvane/tests/test_pipeline.py
+++ b/kingcupvane/tests/test_pipeline.py
@@ -24,7 +24,11 @@
 from kingcupvane.process.rollout import RolloutStates
 from kingcupvane.request.announcements import instance_of
 from kingcupvane.request.gateway_request import WireNames
-from kingcupvane.request.pipeline import RequestPipeline, RetryBudgets
+from kingcupvane.request.pipeline import (
+    RequestPipeline,
+    RetryBudgets,
+    Shutdown,
+)
 from kingcupvane.request.placement import Locality
 from kingcupvane.request.quota import DistributedQuota
 from kingcupvane.request.retry import CrashRegistry, RetryBudget
@@ -516,7 +520,7 @@
 
 def test_draining_gateway_sends_connection_close(make_gateway):
     gateway = make_gateway(response())
-    gateway.pipeline.leaving = True
+    gateway.pipeline.shutdown = Shutdown(late_from=1e9, ends_at=1e9)
     assert gateway.send_request()[1][b"connection"] == b"close"
 
 
@@ -764,3 +768,20 @@
     assert all(gateway.send_request()[0] == 200 for _ in range(40))
     kinds = [event.kind for event in timeline.since(Stamp())]
     assert "target-limit-invalid" in kinds
+
+
+def test_late_request_of_a_stop_is_sent_only_if_its_deadline_lies_within(
+    make_gateway, clock
+):
+    gateway = make_gateway(response(), response())
+    now = clock.now()
+    gateway.pipeline.shutdown = Shutdown(late_from=now + 2.7, ends_at=now + 5.0)
+    assert gateway.send_request(deadline="60000")[0] == 200
+    clock.advance(2.8)
+    assert gateway.send_request(deadline="2000")[0] == 200
+    clock.advance(0.5)
+    status, headers, _ = gateway.send_request(deadline="2000")
+    assert status == 503
+    assert float(headers[b"retry-after"]) > 0.0
+    assert headers[b"connection"] == b"close"
+    assert len(gateway.pool.target_names) == 2
--- a/kingcupvane/tests/test_platform_gateway.py
+++ b/kingcupvane/tests/test_platform_gateway.py
@@ -18,7 +18,11 @@
     PlatformItemDecoder,
     encode_rollout_record,
 )
-from kingcupvane.process.gateway import STOP_IDLE_S, GatewayDaemon
+from kingcupvane.process.gateway import (
+    LATE_REQUEST_S,
+    STOP_IDLE_S,
+    GatewayDaemon,
+)
 from kingcupvane.process.item import Item
 from kingcupvane.process.store import Conflict, HistoryCompacted, Listing
 from kingcupvane.settings import GatewaySettings, PlatformStoreSettings
@@ -597,3 +601,41 @@
         assert refused > 50
 
     harness.run_gateway(check)
+
+
+def test_stopping_gateway_refuses_what_it_could_not_finish(harness):
+    """Its body is complete late in the grace; the end would cut the request."""
+    ended_at_target = []
+
+    async def respond_slowly(stream):
+        if await read_request(stream):
+            ended_at_target.append(True)
+            await trio.sleep_forever()
+
+    harness.target = ScriptedTarget(respond_slowly)
+
+    async def check(harness):
+        document = plan_document(1)
+        document["resources"][0]["spec"]["timeoutS"] = 20
+        harness.store.put_plan(document)
+        await harness.wait_until(harness.is_ready)
+        host, _, port = harness.settings.caller_address.partition(":")
+        stream = await trio.open_tcp_stream(host, int(port))
+        await stream.send_all(
+            b"POST /r/1 HTTP/1.1\r\nhost: h.example\r\n%s: id\r\n"
+            b"authorization: Token k1\r\ncontent-length: 4\r\n\r\nab"
+            % NAMES.attempt
+        )
+        await trio.sleep(0.1)
+        signal.raise_signal(signal.SIGTERM)
+        await trio.sleep(LATE_REQUEST_S + 0.3)
+        await stream.send_all(b"cd")
+        with trio.fail_after(1.0):
+            response = await stream.receive_some(4096)
+        assert b"503" in response.partition(b"\r\n")[0]
+        assert b"retry-after" in response.lower()
+        assert b"connection: close" in response.lower()
+        assert not ended_at_target
+        await harness.ended.wait()
+
+    harness.run_gateway(check)
