Limits: module of the terms that gateways tell, and one of peers

quota.py had grown to 751 lines; RateLimit, AccountUsage and DemandEstimator are now in rate_limit.py, the peers' records in quota_peer.py.

--- a/kingcupvane/connection/messages.py
+++ b/kingcupvane/connection/messages.py
@@ -12,7 +12,7 @@
 
 from kingcupvane.process.item import Item
 from kingcupvane.request.announcements import TargetInstance
-from kingcupvane.request.quota import AccountUsage
+from kingcupvane.request.rate_limit import AccountUsage
 from kingcupvane.version.canary_analysis import Tally
 from kingcupvane.version.move import MoveState
 
--- a/kingcupvane/process/summary.py
+++ b/kingcupvane/process/summary.py
@@ -9,7 +9,7 @@
     MemberStatus,
     Stamp,
 )
-from kingcupvane.request.quota import AccountUsage
+from kingcupvane.request.rate_limit import AccountUsage
 
 
 @dataclass(kw_only=True, slots=True)
--- a/kingcupvane/request/quota.py
+++ b/kingcupvane/request/quota.py
@@ -23,15 +23,20 @@
 import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
-from typing import Protocol
-
-import msgspec
 
 from kingcupvane.hashing import stable_hash
+from kingcupvane.request.quota_peer import (
+    Peer,
+    PeerDemands,
+    PeerEstimate,
+)
+from kingcupvane.request.rate_limit import (
+    AccountUsage,
+    DemandEstimator,
+    RateLimit,
+)
 from kingcupvane.request.token_bucket import TokenBucket
 
-# Time constant of the moving average of demand, in seconds.
-DEMAND_TIME_CONSTANT_S = 1.0
 # Demand that every gateway is assumed to have at least, as a share of the
 # account's rate: for each, and for all of them together.
 DEMAND_FLOOR_SHARE = 0.02
@@ -80,150 +85,6 @@
 DEBT_MAX_S = 2.0
 
 
-class RateLimit(Protocol):
-    """A limit that all gateways hold together; replaced when it changes.
-
-    Attributes:
-        name: Name among all limits.
-        rate: Requests per second over all gateways; 0 for no limit.
-        burst: Token bucket size over all gateways, in requests.
-    """
-
-    @property
-    def name(self) -> str:  # noqa: D102
-        ...
-
-    @property
-    def rate(self) -> float:  # noqa: D102
-        ...
-
-    @property
-    def burst(self) -> float:  # noqa: D102
-        ...
-
-
-class AccountUsage(msgspec.Struct, frozen=True, array_like=True):
-    """A gateway's report on one account.
-
-    Attributes:
-        demand: Requests per second that the account sends to the gateway.
-        admitted: Requests admitted since the gateway's start.
-        rate: Limit that a target has named to the gateway, in requests per
-            second; 0 for an account.
-    """
-
-    demand: float
-    admitted: int
-    rate: float = 0.0
-
-
-class DemandEstimator:
-    """Exponentially weighted moving average of requests per second."""
-
-    def __init__(
-        self, *, now: float, time_constant_s: float = DEMAND_TIME_CONSTANT_S
-    ):
-        """Starts with zero demand.
-
-        Args:
-            now: Monotonic seconds.
-            time_constant_s: Time constant of the average, in seconds.
-        """
-        self._time_constant_s = time_constant_s
-        self._rate = 0.0
-        self._updated_at = now
-
-    def add(self, now: float) -> None:
-        """Counts a request."""
-        self._decay(now)
-        self._rate += 1.0 / self._time_constant_s
-
-    def rate(self, now: float) -> float:
-        """Returns the average, in requests per second."""
-        self._decay(now)
-        return self._rate
-
-    def _decay(self, now: float) -> None:
-        age = max(0.0, now - self._updated_at)
-        self._rate *= math.exp(-age / self._time_constant_s)
-        self._updated_at = now
-
-
-@dataclass(kw_only=True, slots=True)
-class _Peer:
-    """The last report of a peer and its share of each account's limit.
-
-    Attributes:
-        received_at: Time of the last report, in monotonic seconds.
-        source: Name of the gateway whose counters the report contains.
-        incarnation: Start time of that gateway, in Unix milliseconds.
-        silence_timeout_s: Silence after which the peer counts as silent, in
-            seconds.
-        gateway_count: Number of gateways that it stands for.
-        usage_by_account: Usage that it reported.
-        share_by_account: Its share of each account's limit, 0 to 1. A share is
-            computed once after each report and stays until the next one.
-        demands: Demand of all peers just after its last report; None until the
-            next update of the shares. Shares that are needed later, since the
-            account was idle here, are computed from it.
-    """
-
-    received_at: float
-    source: str
-    incarnation: int
-    silence_timeout_s: float
-    gateway_count: int = 1
-    usage_by_account: Mapping[str, AccountUsage] = field(default_factory=dict)
-    share_by_account: dict[str, float] = field(default_factory=dict)
-    demands: "_PeerDemands | None" = None
-
-    def is_silent(self, now: float) -> bool:
-        """Returns whether the peer's reports have stopped."""
-        return now - self.received_at > self.silence_timeout_s
-
-    def demand(self, account: str, floor: float) -> float:
-        """Returns the peer's demand, in requests per second.
-
-        Args:
-            account: Name of the account.
-            floor: Demand that each gateway is assumed to have at least.
-        """
-        usage = self.usage_by_account.get(account)
-        demand = usage.demand if usage is not None else 0.0
-        return self.gateway_count * floor + demand
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class _PeerDemands:
-    """What all peers had reported at one time.
-
-    Attributes:
-        gateway_count: Number of gateways, this one included.
-        demand_by_account: Sum of their demands, in requests per second.
-    """
-
-    gateway_count: int
-    demand_by_account: Mapping[str, float]
-
-    def with_floors(self, account: str, floor: float) -> float:
-        """Returns an account's demand with the floors of all gateways."""
-        demand = max(0.0, self.demand_by_account.get(account, 0.0))
-        return self.gateway_count * floor + demand
-
-
-@dataclass(kw_only=True, slots=True)
-class _PeerEstimate:
-    """Requests assumed to be admitted by a peer since its last report.
-
-    Attributes:
-        admitted_rate: Assumed rate, in requests per second.
-        assumed_admitted: Tokens taken for it since the last report.
-    """
-
-    admitted_rate: float = 0.0
-    assumed_admitted: float = 0.0
-
-
 @dataclass(kw_only=True, slots=True)
 class _Account:
     """This gateway's copy of an account's token bucket.
@@ -259,7 +120,7 @@
     admitted: int = 0
     share: float = 0.0
     is_active: bool = False
-    estimates_by_peer: dict[str, _PeerEstimate] = field(default_factory=dict)
+    estimates_by_peer: dict[str, PeerEstimate] = field(default_factory=dict)
 
 
 class DistributedQuota:
@@ -291,7 +152,7 @@
         startup_s = 0.0 if is_initial_deployment else STARTUP_S
         self._startup_ends_at = now + startup_s
         self._accounts_by_name: dict[str, _Account] = {}
-        self._peers_by_name: dict[str, _Peer] = {}
+        self._peers_by_name: dict[str, Peer] = {}
         self._peer_demand_by_account: dict[str, float] = {}
         self._gateway_count = 1
         self.announced_rates: Mapping[str, float] = {}
@@ -337,7 +198,7 @@
                 now=now,
             )
             return
-        self._peers_by_name[peer] = _Peer(
+        self._peers_by_name[peer] = Peer(
             received_at=now,
             source=source,
             incarnation=incarnation,
@@ -424,7 +285,7 @@
         if estimate is None:
             if not admitted:
                 return
-            estimate = _PeerEstimate()
+            estimate = PeerEstimate()
             account.estimates_by_peer[peer] = estimate
         elif not (
             admitted or estimate.admitted_rate or estimate.assumed_admitted
@@ -610,7 +471,7 @@
         """Keeps the present demands with the peers that reported lately."""
         new = [p for p in self._peers_by_name.values() if p.demands is None]
         if new:
-            demands = _PeerDemands(
+            demands = PeerDemands(
                 gateway_count=self._gateway_count,
                 demand_by_account=dict(self._peer_demand_by_account),
             )
@@ -718,11 +579,11 @@
                 )
                 peer.share_by_account[plan.name] = share
             fixed_share += share
-            if peer.is_silent(now):
-                silent_share += share
-                _assume_usage(account, name, share)
-            else:
+            if not peer.is_silent(now):
                 reported_demand += peer.demand(plan.name, floor)
+                continue
+            silent_share += share
+            _assume_usage(account, name, share)
         unfixed_demand = sum(unfixed_demand_by_peer.values())
         reported_demand += unfixed_demand
         reporting_share = max(0.0, 1.0 - silent_share)
@@ -747,5 +608,5 @@
     """Assumes that a silent peer uses its whole share from now on."""
     estimate = account.estimates_by_peer.get(peer)
     if estimate is None:
-        estimate = account.estimates_by_peer[peer] = _PeerEstimate()
+        estimate = account.estimates_by_peer[peer] = PeerEstimate()
     estimate.admitted_rate = share * account.plan.rate
