Limits: nothing is saved up while the shared bucket is in debt

The parts of a request that a gateway saves up while a limit is exceeded grew with each refusal, also in debt and without bound, so that all gateways took tokens at once as soon as there were some. Now they grow only while tokens are above the reserve, up to one request.

Metrics of limits are by service, so that those of targets that are gone don't stay: kingcupvane_targets_limited, kingcupvane_limited_requests.

--- a/kingcupvane/process/catalog.py
+++ b/kingcupvane/process/catalog.py
@@ -294,6 +294,18 @@
             counts[service] = counts.get(service, 0) + 1
         return counts
 
+    def limited_rates(self) -> dict[str, list[float]]:
+        """Returns the rates of the limits that targets name, by service."""
+        limits = self.target_limits
+        return {
+            service: [
+                limits.rate(view.target)
+                for view in views
+                if limits.is_limited(view.target)
+            ]
+            for service, views in self._views_by_service.items()
+        }
+
     def leaving_counts(self) -> dict[str, int]:
         """Returns the number of leaving targets by service."""
         return {
--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -494,11 +494,9 @@
         for account, tokens in self._quota.tokens_by_account().items():
             if account in self._catalog.plan.accounts_by_name:
                 metrics.quota_left.set({"account": account}, round(tokens, 1))
-        for (
-            target,
-            rate,
-        ) in self._catalog.target_limits.rates_by_target().items():
-            metrics.target_limits.set({"target": target}, rate)
+        for service, rates in self._catalog.limited_rates().items():
+            metrics.targets_limited.set({"service": service}, len(rates))
+            metrics.limited_requests.set({"service": service}, sum(rates))
         for service, remaining in self._retry_budgets.remaining().items():
             metrics.retry_budget.set({"service": service}, round(remaining, 1))
         if self._log_buffer is not None:
--- a/kingcupvane/process/metrics.py
+++ b/kingcupvane/process/metrics.py
@@ -133,9 +133,13 @@
             "kingcupvane_targets_deferred",
             "Targets that asked this gateway to wait, by service.",
         )
-        self.target_limits = self._gauge(
-            "kingcupvane_target_limit_requests",
-            "Requests a second that a target named as its limit; 0 for none.",
+        self.targets_limited = self._gauge(
+            "kingcupvane_targets_limited",
+            "Targets that name a limit of their own, by service.",
+        )
+        self.limited_requests = self._gauge(
+            "kingcupvane_limited_requests",
+            "Requests a second that such targets take together, by service.",
         )
         self.quota_left = self._gauge(
             "kingcupvane_quota_left_requests",
--- a/kingcupvane/request/quota.py
+++ b/kingcupvane/request/quota.py
@@ -375,12 +375,19 @@
         )
 
     def _record_refusal(self, account: _Account, now: float) -> None:
-        account.fraction += self._admitted_share(account, now)
+        if self._is_copy_usable(account, now):
+            saved = account.fraction + self._admitted_share(account, now)
+            account.fraction = min(1.0, saved)
         account.demand.add(now)
 
+    def _is_copy_usable(self, account: _Account, now: float) -> bool:
+        return (
+            account.tokens >= account.reserve and now >= self._startup_ends_at
+        )
+
     def _may_take(self, account: _Account, now: float) -> bool:
         """Returns whether a request may be taken from the copy now."""
-        if account.tokens < account.reserve or now < self._startup_ends_at:
+        if not self._is_copy_usable(account, now):
             return False
         share = self._admitted_share(account, now)
         if share >= 1.0:
--- a/kingcupvane/request/target_limits.py
+++ b/kingcupvane/request/target_limits.py
@@ -168,14 +168,6 @@
         """Yields all limits in force."""
         return iter(self._limits_by_name.values())
 
-    def rates_by_target(self) -> dict[str, float]:
-        """Returns the rates of all limits, 0 for those that were lifted."""
-        names = {*self._heard_by_name, *self._limits_by_name}
-        rates = dict.fromkeys(map(_target_name, names), 0.0)
-        for name, limit in self._limits_by_name.items():
-            rates[_target_name(name)] = limit.rate
-        return rates
-
     def may_use(self, target: RegisteredTarget, now: float) -> bool:
         """Returns whether a request to a target is within its limit.
 
--- a/kingcupvane/tests/test_platform_gateway.py
+++ b/kingcupvane/tests/test_platform_gateway.py
@@ -599,6 +599,12 @@
         assert len(served_at) <= 1.5 * 2.5 * 4.0 + 5
         assert len(served_at) >= 0.7 * 2.5 * 4.0
         assert refused > 50
+        metrics = await harness.get(
+            f"127.0.0.1:{harness.settings.metrics_port}", "/metrics"
+        )
+        assert b'kingcupvane_limited_requests{service="s"} 2.5' in (
+            metrics.content
+        )
 
     harness.run_gateway(check)
 
