Use of limits: late reports of an earlier process are left out

Seen by readers before (211 requests counted for 106). A report of a gateway's earlier process that came after one of its new process was counted whole, and the next report of the new one again, so that limits of accounts and targets were used up by requests that never were.

Change: totals and buckets ignore reports of an earlier incarnation.

Evidence: test_late_report_of_an_earlier_process_is_not_counted and test_late_report_of_an_earlier_process_takes_no_tokens failed before.

--- a/kingcupvane/process/summary.py
+++ b/kingcupvane/process/summary.py
@@ -40,7 +40,7 @@
         """Adds what a gateway has admitted since its previous report.
 
         Requests counted in its first report are left out, since the time of
-        their admission is unknown.
+        their admission is unknown. So are late reports of an earlier process.
 
         Args:
             name: Name of the gateway.
@@ -48,6 +48,8 @@
             usage_by_account: Its usage, counted since that start.
         """
         previous = self._usage_by_gateway.get(name)
+        if previous is not None and incarnation < previous.incarnation:
+            return
         self._usage_by_gateway[name] = _GatewayUsage(
             incarnation=incarnation, usage_by_account=usage_by_account
         )
--- a/kingcupvane/request/quota.py
+++ b/kingcupvane/request/quota.py
@@ -186,6 +186,10 @@
         previous_peer = self._peers_by_name.get(peer)
         if previous_peer is None and not usage_by_account:
             return
+        if previous_peer is not None and previous_peer.is_newer_than(
+            source, incarnation
+        ):
+            return
         self._add_demand(usage_by_account, sign=1)
         if previous_peer is not None:
             self._add_demand(previous_peer.usage_by_account, sign=-1)
--- a/kingcupvane/request/quota_peer.py
+++ b/kingcupvane/request/quota_peer.py
@@ -34,6 +34,10 @@
     share_by_account: dict[str, float] = field(default_factory=dict)
     demands: "PeerDemands | None" = None
 
+    def is_newer_than(self, source: str, incarnation: int) -> bool:
+        """Returns whether a report is of an earlier process of its source."""
+        return self.source == source and incarnation < self.incarnation
+
     def is_silent(self, now: float) -> bool:
         """Returns whether the peer's reports have stopped."""
         return now - self.received_at > self.silence_timeout_s
--- a/kingcupvane/tests/test_quota.py
+++ b/kingcupvane/tests/test_quota.py
@@ -12,6 +12,7 @@
 from kingcupvane.process.reporting import DATA_CENTRE_SILENCE_S
 from kingcupvane.process.summary import UsageTotals
 from kingcupvane.request.quota import DistributedQuota
+from kingcupvane.request.rate_limit import AccountUsage
 from kingcupvane.version.plan import AccountPlan
 
 # Period in which each pair of gateways exchanges reports, in seconds: one of
@@ -342,3 +343,23 @@
     fleet.refused = 0
     fleet.send_requests(seed=3, demand=50, seconds=2)
     assert fleet.refused == 0
+
+
+def test_late_report_of_an_earlier_process_takes_no_tokens():
+    quota = DistributedQuota(now=0.0, is_initial_deployment=True)
+    plan = account(20)
+    quota.update_shares([plan], 0.0)
+
+    def report(incarnation, admitted, now):
+        quota.update_peer(
+            "b",
+            {"a": AccountUsage(1.0, admitted)},
+            source="b",
+            incarnation=incarnation,
+            now=now,
+        )
+
+    report(2, 1, 0.1)
+    report(1, 500, 0.2)
+    report(2, 2, 0.3)
+    assert quota.tokens_by_account()["a"] >= 18.0
--- a/kingcupvane/tests/test_summary.py
+++ b/kingcupvane/tests/test_summary.py
@@ -77,3 +77,12 @@
                 "acme", AccountUsage(0.0, 0)
             )
             assert usage.admitted == expected
+
+
+def test_late_report_of_an_earlier_process_is_not_counted():
+    """It was counted whole, and the next report of the new one again."""
+    totals = UsageTotals()
+    totals.update("a", 2, acme_usage(10))
+    totals.update("a", 1, acme_usage(100))
+    totals.update("a", 2, acme_usage(11))
+    assert totals.usage_by_account([])["acme"].admitted == 1
