An unreadable item of another kind removes no target

Seen by readers before: an unreadable item under any key removed the target named like the last part of that key, so that another writer's odd rollout record could take a target out of use.

Change: the decoder names the target of an unreadable registration; other unreadable items are logged only.

Evidence: test_unreadable_item_of_another_kind_removes_no_target and test_only_an_unreadable_target_record_names_a_target failed before.

--- a/kingcupvane/platform/records.py
+++ b/kingcupvane/platform/records.py
@@ -450,5 +450,10 @@
     make: Callable[[Decoded], CatalogUpdate],
 ) -> CatalogUpdate:
     if isinstance(decoded, Err):
-        return UnreadableItem(key=item.key, reason=decoded.err_value)
+        is_target = item.key.startswith(TARGET_PREFIX)
+        return UnreadableItem(
+            key=item.key,
+            reason=decoded.err_value,
+            target=item.key.removeprefix(TARGET_PREFIX) if is_target else "",
+        )
     return make(decoded.ok_value)
--- a/kingcupvane/process/catalog.py
+++ b/kingcupvane/process/catalog.py
@@ -103,15 +103,16 @@
 class UnreadableItem:
     """An item that cannot be decoded.
 
-    The catalog removes the target whose name is the last part of the key.
-
     Attributes:
-        key: Its key, with parts separated by slashes.
+        key: Its key.
         reason: What is wrong with it.
+        target: Name of the target that it registers, which the catalog
+            removes; empty if it is of another kind.
     """
 
     key: str
     reason: str
+    target: str = ""
 
 
 CatalogUpdate = (
@@ -199,9 +200,10 @@
                 _set_or_remove(self.rollout_records_by_service, service, record)
             case EvacuationUpdate(data_centre=name, evacuated=evacuated):
                 self._apply_evacuation(name, evacuated=evacuated)
-            case UnreadableItem(key=key, reason=reason):
+            case UnreadableItem(key=key, reason=reason, target=name):
                 self._timeline.record("item-unreadable", key=key, why=reason)
-                self._remove_target(key.rpartition("/")[2])
+                if name:
+                    self._remove_target(name)
 
     def apply_announcement(
         self, view: TargetView, announcement: Announcement, *, sent_at: float
--- a/kingcupvane/tests/test_pipeline.py
+++ b/kingcupvane/tests/test_pipeline.py
@@ -18,6 +18,7 @@
     PlanUpdate,
     RolloutSpecUpdate,
     TargetUpdate,
+    UnreadableItem,
 )
 from kingcupvane.process.evidence import EvidenceCounter
 from kingcupvane.process.metrics import GatewayMetrics
@@ -785,3 +786,13 @@
     assert float(headers[b"retry-after"]) > 0.0
     assert headers[b"connection"] == b"close"
     assert len(gateway.pool.target_names) == 2
+
+
+def test_unreadable_item_of_another_kind_removes_no_target(make_gateway):
+    gateway = make_gateway()
+    gateway.catalog.apply(UnreadableItem(key="op/rollout/t0", reason="odd"))
+    assert "t0" in gateway.catalog.views_by_name()
+    gateway.catalog.apply(
+        UnreadableItem(key="servers/t0", reason="odd", target="t0")
+    )
+    assert "t0" not in gateway.catalog.views_by_name()
--- a/kingcupvane/tests/test_platform_records.py
+++ b/kingcupvane/tests/test_platform_records.py
@@ -280,3 +280,11 @@
     assert 1 <= target.slots <= 1024
     assert 0 <= target.cold_left_s <= 3600
     assert 0 <= target.sequence < 2**63
+
+
+def test_only_an_unreadable_target_record_names_a_target():
+    """Another unreadable item removed the target of the same name."""
+    record = DECODER.decode(item("servers/i-1", "{"))
+    assert (type(record), record.target) == (UnreadableItem, "i-1")
+    other = DECODER.decode(item("op/rollout/i-1", "{"))
+    assert (type(other), other.target) == (UnreadableItem, "")
