--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -3,6 +3,7 @@
 import signal
 from collections.abc import Callable
 from functools import partial
+from itertools import chain
 from typing import Protocol
 
 import msgspec
@@ -43,7 +44,7 @@
 from kingcupvane.process.supervisor import supervise
 from kingcupvane.process.timeline import HybridClock, Timeline
 from kingcupvane.request.gateway_request import WireNames
-from kingcupvane.request.pipeline import RequestPipeline, RetryBudgets
+from kingcupvane.request.pipeline import RequestPipeline, RetryBudgets, Shutdown
 from kingcupvane.request.placement import Locality
 from kingcupvane.request.quota import DistributedQuota
 from kingcupvane.request.retry import CrashRegistry, RetryBudget
@@ -65,6 +66,9 @@
 RECOVERY_MAX_S = 0.6
 # Time after SIGTERM from which no new connections are accepted, in seconds.
 STOP_ACCEPT_MAX_S = 3.0
+# Time after SIGTERM from which a request is refused unless its deadline lies
+# before the end of the stop, in seconds.
+LATE_REQUEST_S = 2.7
 MEBIBYTE = 1 << 20
 # Largest share of the process's memory that incomplete responses of targets may
 # hold together; small responses are accepted beyond it.
@@ -154,17 +158,20 @@
         )
         self._peers = PeerTable(own=own)
         self._mirror = Mirror(prefix="")
+        self._quota = DistributedQuota(
+            now=now,
+            name=settings.name,
+            is_initial_deployment=settings.first_start,
+        )
         self._catalog = Catalog(
             name=settings.name,
             locality=Locality(
                 data_centre=settings.data_centre, region=settings.region
             ),
+            quota=self._quota,
             clock=self._clock,
             timeline=self._timeline,
         )
-        self._quota = DistributedQuota(
-            now=now, is_initial_deployment=settings.first_start
-        )
         self._retry_settings = RetrySettings()
         self._crashes = CrashRegistry(settings=self._retry_settings)
         self._rollout_states = RolloutStates()
@@ -434,8 +441,13 @@
                 self._catalog.mark_store_unreachable()
             self._catalog.remove_expired_targets()
             self._catalog.end_deferrals()
+            self._catalog.target_limits.update(now)
             self._quota.update_shares(
-                self._catalog.plan.accounts_by_name.values(), now
+                chain(
+                    self._catalog.plan.accounts_by_name.values(),
+                    self._catalog.target_limits.limits(),
+                ),
+                now,
             )
             self._caller_server_state.keep_alive_s = (
                 self._catalog.plan.limits.idle_timeout_s
@@ -480,7 +492,13 @@
         for service, count in self._catalog.deferred_counts().items():
             metrics.targets_deferred.set({"service": service}, count)
         for account, tokens in self._quota.tokens_by_account().items():
-            metrics.quota_left.set({"account": account}, round(tokens, 1))
+            if account in self._catalog.plan.accounts_by_name:
+                metrics.quota_left.set({"account": account}, round(tokens, 1))
+        for (
+            target,
+            rate,
+        ) in self._catalog.target_limits.rates_by_target().items():
+            metrics.target_limits.set({"target": target}, rate)
         for service, remaining in self._retry_budgets.remaining().items():
             metrics.retry_budget.set({"service": service}, round(remaining, 1))
         if self._log_buffer is not None:
@@ -540,12 +558,14 @@
     async def _shut_down(self) -> None:
         """Keeps serving until callers have moved away or the time is up."""
         started_at = self._clock.now()
+        ends_at = started_at + self._settings.stop_grace_s - KILL_MARGIN_S
         self._is_leaving = True
-        self._pipeline.leaving = True
+        self._pipeline.shutdown = Shutdown(
+            late_from=started_at + LATE_REQUEST_S, ends_at=ends_at
+        )
         self._timeline.record(
             "leaving", active=self._pipeline.active_request_count
         )
-        ends_at = started_at + self._settings.stop_grace_s - KILL_MARGIN_S
         self._reporter.report_all()
         accept_until = min(ends_at, started_at + STOP_ACCEPT_MAX_S)
         # The listener ends once it has served what the kernel had accepted.
--- a/kingcupvane/request/pipeline.py
+++ b/kingcupvane/request/pipeline.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from http import HTTPStatus
 
 import trio
@@ -85,6 +86,20 @@
         return budget
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Shutdown:
+    """The times of a graceful stop, in monotonic seconds.
+
+    Attributes:
+        late_from: From then on, only requests whose deadline lies before
+            `ends_at` are sent to targets.
+        ends_at: Requests in progress are cut then.
+    """
+
+    late_from: float
+    ends_at: float
+
+
 class RequestPipeline:
     """Serves callers' requests at a gateway.
 
@@ -92,8 +107,8 @@
         active_request_count: Number of requests in progress.
         last_activity_at: Monotonic time at which a request last began or
             ended, in seconds.
-        leaving: Whether responses carry `Connection: close`, since the
-            gateway is draining.
+        shutdown: Times of the graceful stop; None before. Responses carry
+            `Connection: close` during it.
     """
 
     def __init__(
@@ -141,7 +156,7 @@
         self._picker = DestinationPicker()
         self.active_request_count = 0
         self.last_activity_at = float("-inf")
-        self.leaving = False
+        self.shutdown: Shutdown | None = None
 
     async def handle(self, request: asgi.HttpRequest, send: asgi.Send) -> None:
         """Serves one request and sends its response."""
@@ -268,11 +283,19 @@
                         gateway_request, last, "no time is left"
                     )
                 )
+            if self._would_be_cut(gateway_request, now):
+                return Err(
+                    self._final_refusal(
+                        gateway_request, last, "the gateway is stopping"
+                    )
+                )
             candidate = self._selector.select(gateway_request, now)
             if candidate is None:
                 return Err(
                     self._final_refusal(
-                        gateway_request, last, "no target is free"
+                        gateway_request,
+                        last,
+                        self._explain_no_target(gateway_request.service),
                     )
                 )
             limit_s = allowed_wait_s(
@@ -295,6 +318,17 @@
             if not self._is_retryable(gateway_request, last):
                 return self._final_result(gateway_request, last)
 
+    def _would_be_cut(
+        self, gateway_request: GatewayRequest, now: float
+    ) -> bool:
+        """Returns whether a stop may end before a request sent now does."""
+        shutdown = self.shutdown
+        return (
+            shutdown is not None
+            and now >= shutdown.late_from
+            and gateway_request.deadline > shutdown.ends_at
+        )
+
     def _is_retryable(
         self, gateway_request: GatewayRequest, last: Attempt
     ) -> bool:
@@ -360,6 +394,17 @@
             detail=detail,
         )
 
+    def _explain_no_target(self, service: str) -> str:
+        limits = self._catalog.target_limits
+        views = self._catalog.views(service)
+        limited = sum(limits.is_limited(view.target) for view in views)
+        if not limited:
+            return "no target is free"
+        return (
+            "no target is free,"
+            f" {limited} of {len(views)} have a limit of their own"
+        )
+
     def _slot_retry_after_s(self, gateway_request: GatewayRequest) -> float:
         """Returns the Retry-After until a target should have a free slot."""
         now = self._clock.now()
@@ -372,7 +417,10 @@
             queue_wait_s = (
                 queued * service_time.warm_service_s / view.target.slots
             )
-            waits_s.append(max(queue_wait_s, view.deferred_until - now))
+            limit_wait_s = self._catalog.target_limits.wait_s(view.target, now)
+            waits_s.append(
+                max(queue_wait_s, view.deferred_until - now, limit_wait_s)
+            )
         return retry_after_s(
             min(waits_s, default=NO_TARGET_WAIT_S),
             caller_attempt_id=gateway_request.id,
@@ -407,7 +455,8 @@
         headers = [
             (name, value)
             for name, value in response.headers
-            if name != b"content-length" and name not in self._names.leaving
+            if name != b"content-length"
+            and name not in self._names.announcements
         ]
         headers.append((b"content-length", str(len(response.body)).encode()))
         self._record_outcome(gateway_request, "answered", status)
@@ -500,7 +549,7 @@
         body: bytes,
         send: asgi.Send,
     ) -> None:
-        if self.leaving:
+        if self.shutdown is not None:
             headers.append((b"connection", b"close"))
         await send(
             {
--- a/kingcupvane/tests/test_platform_gateway.py
+++ b/kingcupvane/tests/test_platform_gateway.py
@@ -1,6 +1,7 @@
 """Tests of whole gateways with the platform adapter and a store in memory."""
 
 import json
+import re
 import signal
 import socket
 import time
@@ -17,7 +18,11 @@
     PlatformItemDecoder,
     encode_rollout_record,
 )
-from kingcupvane.process.gateway import STOP_IDLE_S, GatewayDaemon
+from kingcupvane.process.gateway import (
+    LATE_REQUEST_S,
+    STOP_IDLE_S,
+    GatewayDaemon,
+)
 from kingcupvane.process.item import Item
 from kingcupvane.process.store import Conflict, HistoryCompacted, Listing
 from kingcupvane.settings import GatewaySettings, PlatformStoreSettings
@@ -559,3 +564,78 @@
         assert len(served) == 1
 
     harness.run_gateway(check)
+
+
+def test_target_that_names_a_limit_gets_no_more_than_that(harness):
+    """Targets in need got all requests that they did not shed."""
+    served_at = []
+
+    async def respond(stream):
+        while data := await read_request(stream):
+            served_at.append(trio.current_time())
+            attempt = re.search(rb"(?i)%s: (\S+)" % NAMES.attempt, data)[1]
+            await stream.send_all(
+                b"HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nserver-limit: 2.5"
+                b"\r\ncontent-length: 0\r\n\r\n"
+                % (NAMES.attempt, attempt, NAMES.stamp)
+            )
+
+    harness.target = ScriptedTarget(respond)
+
+    async def check(harness):
+        harness.put_plan()
+        await harness.wait_until(harness.is_ready)
+        assert (await harness.send_request())[0] == 200
+        started_at = trio.current_time()
+        refused = 0
+        while trio.current_time() - started_at < 4.0:
+            sent_at = trio.current_time()
+            status, body = await harness.send_request()
+            if status == 503:
+                refused += 1
+                assert trio.current_time() - sent_at < 0.5
+                assert b"limit" in body
+            await trio.sleep(0.02)
+        assert len(served_at) <= 1.5 * 2.5 * 4.0 + 5
+        assert len(served_at) >= 0.7 * 2.5 * 4.0
+        assert refused > 50
+
+    harness.run_gateway(check)
+
+
+def test_stopping_gateway_refuses_what_it_could_not_finish(harness):
+    """Its body is complete late in the grace; the end would cut the request."""
+    ended_at_target = []
+
+    async def respond_slowly(stream):
+        if await read_request(stream):
+            ended_at_target.append(True)
+            await trio.sleep_forever()
+
+    harness.target = ScriptedTarget(respond_slowly)
+
+    async def check(harness):
+        document = plan_document(1)
+        document["resources"][0]["spec"]["timeoutS"] = 20
+        harness.store.put_plan(document)
+        await harness.wait_until(harness.is_ready)
+        host, _, port = harness.settings.caller_address.partition(":")
+        stream = await trio.open_tcp_stream(host, int(port))
+        await stream.send_all(
+            b"POST /r/1 HTTP/1.1\r\nhost: h.example\r\n%s: id\r\n"
+            b"authorization: Token k1\r\ncontent-length: 4\r\n\r\nab"
+            % NAMES.attempt
+        )
+        await trio.sleep(0.1)
+        signal.raise_signal(signal.SIGTERM)
+        await trio.sleep(LATE_REQUEST_S + 0.3)
+        await stream.send_all(b"cd")
+        with trio.fail_after(1.0):
+            response = await stream.receive_some(4096)
+        assert b"503" in response.partition(b"\r\n")[0]
+        assert b"retry-after" in response.lower()
+        assert b"connection: close" in response.lower()
+        assert not ended_at_target
+        await harness.ended.wait()
+
+    harness.run_gateway(check)
