Loans of slots: a late request does not replace a later one

Cause, by reading: since a message that times out retires its socket, the next request for the same loan goes over a new connection and may overtake the one before. A lender that had stalled then read 'slots=3' before 'slots=1' and used slots itself that its borrower had just been granted.

Change: requests are numbered by their borrower; the lender leaves a loan as it is if the request that made it is the later one.

Evidence: test_late_loan_request_does_not_replace_a_later_one fails without the number.

--- a/kingcupvane/connection/messages.py
+++ b/kingcupvane/connection/messages.py
@@ -102,11 +102,19 @@
 class LoanRequest(
     msgspec.Struct, frozen=True, tag="loan-request", kw_only=True
 ):
-    """Asks another entry for a short loan of a target's slots."""
+    """Asks another entry for a short loan of a target's slots.
+
+    Attributes:
+        sender: Name of the borrowing entry.
+        target: Name of the target.
+        slots: Slots that it wants in total.
+        number: Grows with each request of the sender; 0 if it numbers none.
+    """
 
     sender: str
     target: str
     slots: int
+    number: int = 0
 
 
 class LoanReply(msgspec.Struct, frozen=True, tag="loan-reply", kw_only=True):
--- a/kingcupvane/process/peer_handlers.py
+++ b/kingcupvane/process/peer_handlers.py
@@ -161,6 +161,7 @@
         free_slots=handler.load_balancer.free_slots(target),
         now=now,
         ttl_s=handler.settings.request.timeout_s,
+        number=message.number,
     )
     live = handler.membership.live_names(now)
     handler.load_balancer.update_target(target, live, now)
--- a/kingcupvane/process/slot_borrower.py
+++ b/kingcupvane/process/slot_borrower.py
@@ -13,7 +13,7 @@
 import trio
 from result import Ok
 
-from kingcupvane.clock import Clock
+from kingcupvane.clock import MILLISECONDS_PER_SECOND, Clock
 from kingcupvane.connection.messages import LoanReply, LoanRequest
 from kingcupvane.connection.peer import PeerClient
 from kingcupvane.process.replica import ConfigurationReplica
@@ -77,6 +77,7 @@
         self._timeline = timeline
         self._on_loans_changed = on_loans_changed
         self._reported_spillover: set[str] = set()
+        self._last_number = 0
 
     async def run(self) -> None:
         """Borrows and returns slots until cancelled."""
@@ -181,7 +182,10 @@
         name = self._settings.name
         started_at = self._clock.now()
         request = LoanRequest(
-            sender=name, target=candidate.target.name, slots=slots
+            sender=name,
+            target=candidate.target.name,
+            slots=slots,
+            number=self._next_number(),
         )
         reply = await self._client.ask(candidate.lender.peer_address, request)
         if not isinstance(reply, Ok):
@@ -195,6 +199,12 @@
         )
         self._record_spillover(candidate, message.slots)
 
+    def _next_number(self) -> int:
+        """Returns a number above those of this process and of earlier ones."""
+        wall_ms = int(self._clock.wall() * MILLISECONDS_PER_SECOND)
+        self._last_number = max(self._last_number + 1, wall_ms)
+        return self._last_number
+
     def _record_spillover(self, candidate: LoanCandidate, slots: int) -> None:
         data_centre = candidate.target.data_centre
         if data_centre == self._settings.data_centre:
--- a/kingcupvane/request/load_balancing.py
+++ b/kingcupvane/request/load_balancing.py
@@ -100,10 +100,12 @@
     Attributes:
         slots: Number of slots.
         expires_at: End of the loan, in monotonic seconds.
+        number: Number of the request that it answers.
     """
 
     slots: int
     expires_at: float
+    number: int = 0
 
 
 class SlotLender:
@@ -130,9 +132,13 @@
         free_slots: int,
         now: float,
         ttl_s: float,
+        number: int = 0,
     ) -> int:
         """Replaces a borrower's loan; returns the slots that are granted.
 
+        A request that arrives after a later one of the borrower changes
+        nothing.
+
         Args:
             target: Name of the target.
             borrower: Name of the borrowing entry.
@@ -140,15 +146,23 @@
             free_slots: Free slots that are not lent out.
             now: Monotonic seconds.
             ttl_s: Time until the loan expires, in seconds.
+            number: Number of the request, by which a borrower orders its
+                requests; 0 if it doesn't.
         """
         key = (target, borrower)
         loan = self._loans.get(key)
-        current_slots = loan.slots if loan and now < loan.expires_at else 0
+        if loan is None or now >= loan.expires_at:
+            loan = _SlotLoan(slots=0, expires_at=now)
+        if 0 < number < loan.number:
+            return loan.slots
+        current_slots = loan.slots
         granted = min(
             wanted, current_slots + max(0, free_slots - LENDER_RESERVE)
         )
         if granted:
-            self._loans[key] = _SlotLoan(slots=granted, expires_at=now + ttl_s)
+            self._loans[key] = _SlotLoan(
+                slots=granted, expires_at=now + ttl_s, number=number
+            )
         else:
             self._loans.pop(key, None)
         return granted
--- a/kingcupvane/tests/test_load_balancing.py
+++ b/kingcupvane/tests/test_load_balancing.py
@@ -162,3 +162,25 @@
     load.record_outcome(ExchangeOutcome.SHED, latency_s=0.0, now=5.0)
     assert not load.has_capacity(5.1)
     assert load.has_capacity(5.3)
+
+
+def test_late_loan_request_does_not_replace_a_later_one():
+    """Over a new connection requests may overtake those of the old one."""
+    lender = SlotLender()
+
+    def lend(wanted, number, now):
+        return lender.lend(
+            target="t1",
+            borrower="e2",
+            wanted=wanted,
+            free_slots=4 - lender.lent_slots("t1", now),
+            now=now,
+            ttl_s=2.0,
+            number=number,
+        )
+
+    assert lend(3, number=7, now=0.0) == 3
+    assert lend(1, number=6, now=0.1) == 3
+    assert lender.lent_slots("t1", 0.1) == 3
+    assert lend(1, number=8, now=0.2) == 1
+    assert lend(2, number=3, now=5.0) == 2
--- a/kingcupvane/tests/test_slot_borrower.py
+++ b/kingcupvane/tests/test_slot_borrower.py
@@ -48,7 +48,7 @@
         dispatcher=SimpleNamespace(queue_length=lambda service: 0),
         client=client,
         replica=SimpleNamespace(current=current),
-        clock=SimpleNamespace(now=lambda: 0.0),
+        clock=SimpleNamespace(now=lambda: 0.0, wall=lambda: 1.0),
         timeline=SimpleNamespace(record=lambda kind, **fields: None),
         on_loans_changed=lambda: load_balancer.update(current, [], 0.0),
     )
