--- a/kingcupvane/request/quota.py
+++ b/kingcupvane/request/quota.py
@@ -10,9 +10,10 @@
 of its peers as they report them. Between reports it takes tokens at the rate
 that a peer last had, and while a peer is silent, at that peer's whole share of
 the rate. While the copy holds more than a reserve, requests are admitted from
-it. Below the reserve, each gateway keeps to its own share of the rate, in
-proportion to demand, so that gateways whose reports are delayed do not spend
-the same tokens.
+it; if the demand exceeds the rate, only a share of them, since hundreds of
+gateways would else take the same tokens before they hear of each other. Below
+the reserve, each gateway keeps to its own share of the rate, in proportion to
+demand, so that gateways whose reports are delayed do not spend the same tokens.
 
 Most accounts have no callers at a given gateway. Their copies are brought up to
 date only by reports of their use elsewhere, while a peer is silent, and when a
