--- a/kingcupvane/tests/test_pipeline.py
+++ b/kingcupvane/tests/test_pipeline.py
@@ -790,7 +790,7 @@
 
 def test_unreadable_item_of_another_kind_removes_no_target(make_gateway):
     gateway = make_gateway()
-    gateway.catalog.apply(UnreadableItem(key="op/rollout/t0", reason="odd"))
+    gateway.catalog.apply(UnreadableItem(key="rollouts/t0", reason="odd"))
     assert "t0" in gateway.catalog.views_by_name()
     gateway.catalog.apply(
         UnreadableItem(key="servers/t0", reason="odd", target="t0")
