--- a/review/standins/server.py
+++ b/review/standins/server.py
@@ -89,6 +89,8 @@
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._beats: asyncio.Task | None = None
+        self._is_silent = False
+        self._retry_after_s = 0.0
         self._tasks: set[asyncio.Task] = set()
 
     async def start(self) -> None:
@@ -105,6 +107,9 @@
     async def _send_heartbeats(self, server_id: str) -> None:
         born = int(time.time() * 1000)
         for sequence in itertools.count(1):
+            if self._is_silent:
+                await asyncio.sleep(0.1)
+                continue
             await self._store.put(
                 f"servers/{server_id}",
                 {
@@ -145,6 +150,23 @@
             self.crash()
             self._spawn(self._return())
 
+    def refuse_all(self, *, retry_after_s: float) -> None:
+        """Turns each request away with 503 and Retry-After, until told else.
+
+        Args:
+            retry_after_s: Value of Retry-After, in seconds; 0 to serve again.
+        """
+        self._retry_after_s = retry_after_s
+
+    async def be_silent(self, duration_s: float) -> None:
+        """Sends no heartbeats for some time; the platform removes its entry."""
+        self._is_silent = True
+        lapse_s = HEARTBEATS_MISSED_MAX * HEARTBEAT_S
+        await asyncio.sleep(lapse_s)
+        await self._store.remove(f"servers/{self.id}")
+        await asyncio.sleep(duration_s - lapse_s)
+        self._is_silent = False
+
     async def _return(self) -> None:
         await asyncio.sleep(self._back_after_s)
         await self.start()
@@ -196,6 +218,16 @@
             has_run=False,
         )
         self.arrivals.append(arrival)
+        if self._retry_after_s:
+            arrival.outcome = "turned away"
+            return http1.encode_response(
+                503,
+                {
+                    "Kingcupvane-Not-Executed": "1",
+                    "Retry-After": f"{self._retry_after_s:g}",
+                    **self._load(),
+                },
+            )
         if self._running >= self._slots and self._waiting >= 3 * self._slots:
             arrival.outcome = "shed"
             return http1.encode_response(
