--- a/review/standins/server.py
+++ b/review/standins/server.py
@@ -50,6 +50,7 @@
         crashes_on: str = "",
         crash_after_s: float = 0.2,
         back_after_s: float = 3.0,
+        limit_per_s: float = 0.0,
     ):
         """Makes a server; `start` opens its port and registers it.
 
@@ -67,6 +68,7 @@
             crash_after_s: Time from the beginning of such a request to the
                 crash, in seconds.
             back_after_s: Time from a crash to the next start, in seconds.
+            limit_per_s: Value of Server-Limit in its answers; 0 for none.
         """
         self.name = name
         self.service = service
@@ -82,6 +84,7 @@
         self._crashes_on = crashes_on
         self._crash_after_s = crash_after_s
         self._back_after_s = back_after_s
+        self._limit_per_s = limit_per_s
         self._incarnation = 0
         self._running = 0
         self._waiting = 0
@@ -268,4 +271,7 @@
 
     def _load(self) -> dict[str, str]:
         load = f"{self._running},{self._waiting},{self._slots}"
-        return {"Kingcupvane-Server-Load": load}
+        headers = {"Kingcupvane-Server-Load": load}
+        if self._limit_per_s:
+            headers["Server-Limit"] = f"{self._limit_per_s:g}"
+        return headers
