--- a/review/2/run.sh
+++ /dev/null
@@ -1,4 +0,0 @@
-#!/usr/bin/env bash
-# Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
-cd "$(dirname "$0")/../.." || exit 2
-PYTHONPATH=. exec python3 -m review.2.case
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,97 +1,123 @@
-"""Settings change while gateways start again after a kill."""
+"""A request that crashes servers comes several times at once."""
 
 import asyncio
-import signal
 
 from review.standins import case, client, plan
-from review.standins.fleet import Gateway
+from review.standins.client import Attempt
+from review.standins.server import Arrival
 
 ZONES = {"zrh-a": "zrh", "zrh-b": "zrh"}
 GATEWAYS = 4
-SERVERS = 6
+SERVERS = 16
 CONTACT_S = 3.0
-# The changes, in seconds after the kill of two gateways: a SIGHUP each.
-CHANGES = 6
-PERIOD_S = 0.7
-FIRST_AFTER_S = 0.7
-# An end within this time of a disruption on the machine is excused.
-EXCUSED_S = 1.0
-ENDS_MAX = 2
-WATCH_S = 15.0
+# Times at which the request comes, in seconds after the first time.
+COMES_AT_S = (0.0, 6.0, 12.0, 18.0)
+# Copies that a client sends at once: the first and three repeats.
+COPIES = 4
+RETRIES_MAX = 3
+POISON = "/status/poison"
 
 
 async def play(setting: case.Setting) -> bool:
     """Plays the case; returns whether the rule held."""
-    record = setting.record
     await setting.store.put(
         "op/config",
         plan.configuration(
-            [plan.route("r-status", "/status/"), plan.service(), plan.tenant()]
+            [
+                plan.route("r-status", "/status/"),
+                plan.service(),
+                plan.tenant(),
+            ]
         ),
     )
-    await setting.add_servers(SERVERS, service=plan.SERVICE, zones=list(ZONES))
+    await setting.add_servers(
+        SERVERS,
+        service=plan.SERVICE,
+        zones=list(ZONES),
+        crashes_on=POISON,
+        back_after_s=3.0,
+    )
     await setting.start_gateways()
+    # In touch: no disruption for `contactS` after the start.
     await asyncio.sleep(CONTACT_S + 1.0)
-    killed, others = setting.fleet.gateways[:2], setting.fleet.gateways[2:]
-    killed_at = setting.now()
-    for gateway in killed:
-        gateway.process.kill()
-    record.say(f"{killed_at:.3f} killed: {', '.join(g.name for g in killed)}")
-    if setting.has_trouble:
-        await _change_settings(setting, killed_at)
-    served_at = await _wait_served(setting, killed, killed_at + WATCH_S)
-    ends = {g.name: _own_ends(g, killed_at) for g in [*killed, *others]}
-    for name, times in ends.items():
-        record.say(f"{name}: ended by itself at {times or 'no time'}")
-    for gateway in killed:
-        record.say(f"{gateway.name}: serves at {served_at[gateway.name]}")
-    broken = sum(len(times) > ENDS_MAX for times in ends.values())
-    return broken < 2
-
-
-async def _change_settings(setting: case.Setting, killed_at: float) -> None:
-    """Sends SIGHUP to every gateway that runs, several times."""
-    for i in range(CHANGES):
-        at = killed_at + FIRST_AFTER_S + i * PERIOD_S
-        await asyncio.sleep(at - setting.now())
-        for gateway in setting.fleet.gateways:
-            running = gateway.process.returncode is None
-            age_s = setting.now() - gateway.started_at[-1]
-            setting.record.write(
-                f"{setting.now():.3f} SIGHUP to {gateway.name}, "
-                + (f"started {age_s:.3f} s before" if running else "not up")
+    attempts: list[Attempt] = []
+    others = asyncio.create_task(_send_others(setting, attempts))
+    first_at = setting.now()
+    copies = COPIES if setting.has_trouble else 1
+    for comes_at_s in COMES_AT_S:
+        await asyncio.sleep(first_at + comes_at_s - setting.now())
+        attempts += await asyncio.gather(
+            *(
+                client.send(
+                    setting.fleet.gateways[i % GATEWAYS].address,
+                    POISON,
+                    now=setting.now,
+                    host=plan.HOST,
+                    key=plan.KEY,
+                )
+                for i in range(copies)
             )
-            if running:
-                gateway.process.send_signal(signal.SIGHUP)
-
+        )
+    others.cancel()
+    return _judge(setting, attempts)
 
-def _own_ends(gateway: Gateway, killed_at: float) -> list[str]:
-    """Returns when and how a gateway ended by itself, without excuse."""
-    return [
-        f"{at:.3f} (status {status})"
-        for at, status in gateway.ends
-        if at > killed_at + EXCUSED_S
-    ]
 
+async def _send_others(setting: case.Setting, attempts: list[Attempt]) -> None:
+    """Sends requests of other clients, twenty a second."""
 
-async def _wait_served(
-    setting: case.Setting, gateways: list[Gateway], until: float
-) -> dict[str, str]:
-    """Returns when each gateway first answers a request again."""
-    served_at = dict.fromkeys((g.name for g in gateways), "no time")
-    while setting.now() < until:
-        for gateway in gateways:
-            attempt = await client.send(
+    async def send_one(number: int) -> None:
+        gateway = setting.fleet.gateways[number % GATEWAYS]
+        attempts.append(
+            await client.send(
                 gateway.address,
-                f"/status/{setting.now():.3f}",
+                f"/status/{number}",
                 now=setting.now,
                 host=plan.HOST,
                 key=plan.KEY,
             )
-            if attempt.status == 200 and served_at[gateway.name] == "no time":
-                served_at[gateway.name] = f"{attempt.ended_at:.3f}"
-        await asyncio.sleep(0.2)
-    return served_at
+        )
+
+    number = 0
+    async with asyncio.TaskGroup() as group:
+        while True:
+            number += 1
+            group.create_task(send_one(number))
+            await asyncio.sleep(0.05)
+
+
+def _judge(setting: case.Setting, attempts: list[Attempt]) -> bool:
+    record = setting.record
+    for attempt in sorted(attempts, key=lambda a: a.sent_at):
+        if attempt.target == POISON or attempt.status != 200:
+            record.write(
+                f"sent {attempt.sent_at:.3f} {attempt.target} id {attempt.id}"
+                f" to {attempt.gateway}: {attempt.status}"
+                f" at {attempt.ended_at:.3f} {attempt.detail}"
+            )
+    arrivals: list[Arrival] = sorted(
+        (a for server in setting.servers for a in server.arrivals),
+        key=lambda a: a.at,
+    )
+    lost = [a for a in arrivals if a.outcome == "lost in a crash"]
+    poison = [a for a in arrivals if a.target == POISON]
+    for arrival in poison:
+        record.write(
+            f"arrived {arrival.at:.3f} at {arrival.server}"
+            f" id {arrival.attempt_id}: {arrival.outcome}"
+        )
+    crashes = [a for a in poison if a.outcome == "crashed the server"]
+    record.say(f"servers crashed by the request: {len(crashes)}")
+    record.say(f"other requests lost in these crashes: {len(lost)}")
+    if len(crashes) < 3:
+        record.say("fewer than three crashes")
+        return True
+    third_at = sorted(a.at for a in crashes)[2]
+    late = [a for a in poison if a.at > third_at + CONTACT_S + 0.5]
+    record.say(
+        f"retries that reached servers later than contactS after the third"
+        f" crash: {len(late)}, allowed {RETRIES_MAX}"
+    )
+    return len(late) <= RETRIES_MAX
 
 
 if __name__ == "__main__":
