--- a/review/3/case.py
+++ b/review/3/case.py
@@ -11,8 +11,10 @@
 SERVERS = 16
 CONTACT_S = 3.0
 # Times at which the request comes, in seconds after the first time.
-COMES_AT_S = (0.0, 6.0, 12.0, 18.0)
-# Copies that a client sends at once: the first and three repeats.
+COMES_AT_S = (0.0, 5.0, 10.0, 15.0)
+# One spell of `retry_abuse`, from the first time on: the copies that a client
+# sends at once are the first and three repeats.
+ABUSE_S = 5.5
 COPIES = 4
 RETRIES_MAX = 3
 POISON = "/status/poison"
@@ -43,9 +45,10 @@
     attempts: list[Attempt] = []
     others = asyncio.create_task(_send_others(setting, attempts))
     first_at = setting.now()
-    copies = COPIES if setting.has_trouble else 1
     for comes_at_s in COMES_AT_S:
         await asyncio.sleep(first_at + comes_at_s - setting.now())
+        is_abused = setting.has_trouble and comes_at_s < ABUSE_S
+        copies = COPIES if is_abused else 1
         attempts += await asyncio.gather(
             *(
                 client.send(
--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import os
+import signal
 import sys
 import tempfile
 import traceback
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
-from review.standins.fleet import Fleet
+from review.standins.fleet import BOUNDS, Fleet
 from review.standins.server import Server
 from review.standins.store import Store
 
@@ -109,12 +110,18 @@
 
 
 async def _run(
-    script: Script, folder: Path, gateways: int, zones: dict[str, str]
+    script: Script,
+    folder: Path,
+    gateways: int,
+    zones: dict[str, str],
+    bounds: dict[str, float],
 ) -> int:
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(path=folder / "record.txt")
     with tempfile.TemporaryDirectory() as temporary:
-        fleet = Fleet(count=gateways, zones=zones, folder=Path(temporary))
+        fleet = Fleet(
+            count=gateways, zones=zones, folder=Path(temporary), bounds=bounds
+        )
         store = Store(address=fleet.store_address)
         setting = Setting(
             fleet=fleet,
@@ -143,7 +150,12 @@
 
 
 def main(
-    script: Script, file: str, *, gateways: int, zones: dict[str, str]
+    script: Script,
+    file: str,
+    *,
+    gateways: int,
+    zones: dict[str, str],
+    bounds: dict[str, float] = BOUNDS,
 ) -> None:
     """Runs a case and exits with its status.
 
@@ -152,6 +164,10 @@
         file: Path of the case's program; the record goes beside it.
         gateways: Number of gateways.
         zones: Region by zone.
+        bounds: Bounds of the site.
     """
     folder = Path(file).resolve().parent
-    sys.exit(asyncio.run(_run(script, folder, gateways, zones)))
+    # The gateways inherit it: the platform starts processes with the default
+    # action, also where this script runs below `nohup`.
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
+    sys.exit(asyncio.run(_run(script, folder, gateways, zones, bounds)))
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -17,6 +17,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 RESTART_DELAY_S = 0.5
 READY_TIMEOUT_S = 20.0
+# Bounds of rts-bordereaux; secdtg-diag differs in the two below.
 BOUNDS = {
     "seedLagS": 3,
     "contactS": 3,
@@ -33,6 +34,7 @@
     "recoverS": 15,
     "ttl_max_s": 5,
 }
+GUILD_BOUNDS = BOUNDS | {"contactS": 4, "budgetExtra": 58}
 LIMITS = {"maxFds": 4100, "memoryMb": 300, "linkMbps": 1000.0}
 
 
@@ -109,18 +111,27 @@
         gateways: All gateways.
     """
 
-    def __init__(self, *, count: int, zones: dict[str, str], folder: Path):
+    def __init__(
+        self,
+        *,
+        count: int,
+        zones: dict[str, str],
+        folder: Path,
+        bounds: dict[str, float],
+    ):
         """Makes a fleet; `start` starts its processes.
 
         Args:
             count: Number of gateways, dealt to the zones in turn.
             zones: Region by zone.
             folder: Temporary folder for settings and logs.
+            bounds: Bounds of the site, for the settings.
         """
         self.subnet = free_subnet()
         self.store_address = f"{self.subnet}.200:8682"
         self._zones = zones
         self._folder = folder
+        self._bounds = bounds
         self._started = time.monotonic()
         self._keepers: list[asyncio.Task] = []
         names = list(zones)
@@ -154,7 +165,7 @@
             "internalPorts": [7740, 7755],
             "bootstrap": first_start,
             "seeds": [f"{g.ip}:8688" for g in self.gateways[:3]],
-            "bounds": BOUNDS,
+            "bounds": self._bounds,
             "limits": LIMITS,
             "platform": {"address": self.store_address, "ttlMinS": 1},
             "zones": self._zones,
