Requests that crash targets: crashes add up to a set, one trial at a time

Cause: a crash counted only if its exchange began after the crash before, and the larger count of two gateways won, so that all crashes of one moment were one. The second attempt left before the first crash was recorded.

Change: a crash is known by the process that it ended; complete responses are told, too; from two crashes on one copy at a time is tried in the whole fleet, granted by the gateway that ranks first for the request, 0.15, 3 and 20 s after the last crash by the number of moments; copies wait for a running trial; a second attempt waits for a check of the first target. Logs of trials, counts of crashes and moments.

Ruled out: slow reports (0.2 to 0.6 s against copies 5 s later); refusing all that crashed three targets at once (a lookup on a lost rack would be refused).

--- a/kingcupvane/connection/messages.py
+++ b/kingcupvane/connection/messages.py
@@ -12,6 +12,7 @@
 
 from kingcupvane.process.item import Item
 from kingcupvane.request.announcements import TargetInstance
+from kingcupvane.request.crashes import SuspicionNotice
 from kingcupvane.request.rate_limit import AccountUsage
 from kingcupvane.version.canary_analysis import Tally
 from kingcupvane.version.move import MoveState
@@ -63,8 +64,7 @@
         beats: Latest beats of the entries of the sender's data centre;
             to another data centre, only those of the sender and of leaving
             entries.
-        crashes: Requests suspected of crashing targets, as
-            `fingerprint crash_count`.
+        crashes: Requests that crash targets or are cleared of it.
         moves: States of the known moves.
         leaving_vms: VMs that the platform's VM list shows as leaving.
         confirmed_age_s: Time since the sender's revision was confirmed to be
@@ -76,7 +76,7 @@
     revision: int
     digest: str
     beats: list[MemberBeat] = []
-    crashes: list[str] = []
+    crashes: list[SuspicionNotice] = []
     moves: list[MoveState] = []
     leaving_vms: list[str] = []
     confirmed_age_s: float = float("inf")
@@ -215,6 +215,44 @@
     sources: list[SourceEvidence]
 
 
+class TrialRequest(
+    msgspec.Struct, frozen=True, tag="trial-request", kw_only=True
+):
+    """Asks a gateway to grant the trial of a quarantined request.
+
+    Attributes:
+        sender: Name of the asking gateway.
+        notice: What it knows of the request.
+    """
+
+    sender: str
+    notice: SuspicionNotice
+
+
+class TrialEnded(msgspec.Struct, frozen=True, tag="trial-ended", kw_only=True):
+    """Tells the gateway that granted a trial that it has ended.
+
+    Attributes:
+        sender: Name of the gateway that made the trial.
+        notice: What it knows of the request now.
+    """
+
+    sender: str
+    notice: SuspicionNotice
+
+
+class TrialReply(msgspec.Struct, frozen=True, tag="trial-reply", kw_only=True):
+    """Reply to both messages about a trial.
+
+    Attributes:
+        granted: Whether the asking gateway may send the request to a target.
+        notice: What the replying gateway knows of the request.
+    """
+
+    granted: bool
+    notice: SuspicionNotice
+
+
 class StatusRequest(
     msgspec.Struct, frozen=True, tag="status-request", kw_only=True
 ):
@@ -396,8 +434,7 @@
             centre.
         demand: Requests a second from its callers, by service.
         in_flight: Its requests in flight, by target.
-        crashes: Requests suspected of crashing targets, as
-            `fingerprint crash_count`.
+        crashes: Requests that crash targets or are cleared of it.
         leaving: Registered targets that have announced their stop.
         states: States of the known rollouts.
         rollouts: Ages of the rollouts of all specifications in the store,
@@ -417,7 +454,7 @@
     use: dict[str, AccountUsage] = {}
     demand: dict[str, float] = {}
     in_flight: dict[str, int] = {}
-    crashes: list[str] = []
+    crashes: list[SuspicionNotice] = []
     leaving: list[TargetInstance] = []
     states: list[MoveState] = []
     rollouts: list[RolloutProgress] = []
@@ -467,6 +504,9 @@
     | EvidenceReply
     | GatherRequest
     | GatherReply
+    | TrialRequest
+    | TrialEnded
+    | TrialReply
     | StatusRequest
     | StatusReply
     | TimelineRequest
--- a/kingcupvane/process/crash_verifier.py
+++ b/kingcupvane/process/crash_verifier.py
@@ -6,13 +6,19 @@
 from kingcupvane.connection.target_connection import ConnectFailedError, connect
 from kingcupvane.process.evidence import EvidenceCounter
 from kingcupvane.process.timeline import Timeline
+from kingcupvane.request.crashes import CrashRegistry
 from kingcupvane.request.gateway_request import (
     SuspectedCrash,
     UnansweredExchange,
 )
-from kingcupvane.request.retry import CrashRegistry
 
 PENDING_SUSPICIONS_MAX = 64
+# Longest time for which a request waits for the check of its target, in
+# seconds.
+CHECK_WAIT_MAX_S = 0.2
+# A dying process may close its connections before its listener, so a target
+# that listens is checked once more after this time, in seconds.
+RECHECK_AFTER_S = 0.1
 
 
 class CrashVerifier:
@@ -54,6 +60,21 @@
         except trio.WouldBlock:
             self._timeline.record("suspicion-dropped", target=suspicion.target)
 
+    async def check(self, suspicion: SuspectedCrash) -> None:
+        """Checks a suspicion, for `CHECK_WAIT_MAX_S` at most.
+
+        Without a result it is queued, as it is when the caller is cancelled.
+        """
+        has_died = False
+        try:
+            with trio.move_on_after(CHECK_WAIT_MAX_S):
+                has_died = not await self._listens(suspicion.address)
+        finally:
+            if has_died:
+                self._record_crash(suspicion)
+            else:
+                self.report(suspicion)
+
     async def run(self) -> None:
         """Checks suspicions until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -63,25 +84,41 @@
     async def _verify(
         self, suspicion: SuspectedCrash | UnansweredExchange
     ) -> None:
+        listens = await self._listens(suspicion.address)
+        if isinstance(suspicion, UnansweredExchange):
+            if listens:
+                self._evidence.add(suspicion.sample)
+            return
+        if listens:
+            await trio.sleep(RECHECK_AFTER_S)
+            listens = await self._listens(suspicion.address)
+        if not listens:
+            self._record_crash(suspicion)
+
+    async def _listens(self, address: str) -> bool:
         try:
-            stream = await connect(suspicion.address)
+            stream = await connect(address)
         except ConnectFailedError:
-            if isinstance(suspicion, SuspectedCrash):
-                self._record_crash(suspicion)
-            return
+            return False
         await trio.aclose_forcefully(stream)
-        if isinstance(suspicion, UnansweredExchange):
-            self._evidence.add(suspicion.sample)
+        return True
 
     def _record_crash(self, suspicion: SuspectedCrash) -> None:
+        now = self._clock.now()
         refused = self._crashes.record_crash(
             suspicion.fingerprint,
             started_at=suspicion.started_at,
-            now=self._clock.now(),
+            now=now,
+            process=suspicion.process,
+        )
+        crashes, moments = self._crashes.crash_counts(
+            suspicion.fingerprint, now
         )
         self._timeline.record(
             "target-died-with-request",
             target=suspicion.target,
             fingerprint=suspicion.fingerprint,
             refused=refused,
+            crashes=crashes,
+            moments=moments,
         )
--- a/kingcupvane/process/entry.py
+++ b/kingcupvane/process/entry.py
@@ -34,12 +34,12 @@
 from kingcupvane.process.timeline import HybridClock, Timeline
 from kingcupvane.request.active_requests import ActiveRequests
 from kingcupvane.request.admission import Admission
+from kingcupvane.request.crashes import CrashRegistry
 from kingcupvane.request.dispatch import Dispatcher
 from kingcupvane.request.handler import RequestHandler
 from kingcupvane.request.load_balancing import LoadBalancer, rendezvous_rank
 from kingcupvane.request.order_runner import OrderRunner
 from kingcupvane.request.refusals import RefusalCounter
-from kingcupvane.request.retry import CrashRegistry
 from kingcupvane.settings import EntrySettings, read_secret
 from kingcupvane.version.configuration import Configuration
 from kingcupvane.version.move import VersionShare, version_shares
--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -23,6 +23,7 @@
 from kingcupvane.connection.target_connection import ConnectionPool
 from kingcupvane.errors import UsageError
 from kingcupvane.process.catalog import Catalog, CatalogUpdate, GatewayUpdate
+from kingcupvane.process.crash_trials import CrashTrials
 from kingcupvane.process.crash_verifier import CrashVerifier
 from kingcupvane.process.evidence import EvidenceCounter
 from kingcupvane.process.evidence_collection import EvidenceCollector
@@ -43,11 +44,12 @@
 from kingcupvane.process.store import Store
 from kingcupvane.process.supervisor import supervise
 from kingcupvane.process.timeline import HybridClock, Timeline
+from kingcupvane.request.crashes import CrashRegistry
 from kingcupvane.request.gateway_request import WireNames
 from kingcupvane.request.pipeline import RequestPipeline, RetryBudgets, Shutdown
 from kingcupvane.request.placement import Locality
 from kingcupvane.request.quota import DistributedQuota
-from kingcupvane.request.retry import CrashRegistry, RetryBudget
+from kingcupvane.request.retry import RetryBudget
 from kingcupvane.request.selection import TargetSelector
 from kingcupvane.request.sending import TargetSender
 from kingcupvane.settings import GatewaySettings, RetrySettings
@@ -216,6 +218,14 @@
                 LEASE_TTL_PER_CONTACT_TIMEOUT * settings.contact_s,
             ),
         )
+        self._crash_trials = CrashTrials(
+            crashes=self._crashes,
+            peers=self._peers,
+            client=self._peer_client,
+            is_ready=self._is_ready,
+            clock=self._clock,
+            timeline=self._timeline,
+        )
         self._crash_verifier = CrashVerifier(
             crashes=self._crashes,
             evidence=self._evidence,
@@ -245,6 +255,7 @@
             catalog=self._catalog,
             quota=self._quota,
             crashes=self._crashes,
+            trials=self._crash_trials,
             rollout_states=self._rollout_states,
             tracked_rollouts=self._tracked_rollouts,
             collector=collector,
@@ -307,6 +318,7 @@
             clock=self._clock,
             log_event=self._timeline.record,
             report_suspected_crash=self._crash_verifier.report,
+            check_suspected_crash=self._crash_verifier.check,
             report_unanswered=self._crash_verifier.report,
         )
         self._pipeline = RequestPipeline(
@@ -315,6 +327,7 @@
             sender=sender,
             quota=self._quota,
             crashes=self._crashes,
+            trials=self._crash_trials,
             retry_budgets=self._retry_budgets,
             metrics=self._metrics,
             names=self._names,
@@ -348,6 +361,7 @@
                 ("lateness", self._lateness.run),
                 ("rollouts", self._rollout_task.run),
                 ("suspicions", self._crash_verifier.run),
+                ("crash-trials", self._crash_trials.run),
                 ("peers", self._serve_peers),
             ):
                 nursery.start_soon(supervise, name, task, self._timeline)
--- a/kingcupvane/process/gossip.py
+++ b/kingcupvane/process/gossip.py
@@ -26,7 +26,7 @@
 from kingcupvane.process.move_controller import MoveStates
 from kingcupvane.process.replica import ConfigurationReplica
 from kingcupvane.process.timeline import Timeline
-from kingcupvane.request.retry import CrashRegistry
+from kingcupvane.request.crashes import CrashRegistry
 from kingcupvane.settings import EntrySettings
 from kingcupvane.version.items import Entry
 
@@ -150,7 +150,7 @@
             revision=current.revision,
             digest=current.digest,
             beats=beats,
-            crashes=self._crashes.snapshot(),
+            crashes=self._crashes.snapshot(self._clock.now()),
             moves=list(self._move_states.states_by_name.values()),
             leaving_vms=self._membership.listed_leaving(),
             confirmed_age_s=self._replica.confirmed_age_s(),
--- a/kingcupvane/process/reporting.py
+++ b/kingcupvane/process/reporting.py
@@ -21,9 +21,12 @@
     MirrorReply,
     MirrorRequest,
     RolloutProgress,
+    TrialEnded,
+    TrialRequest,
 )
 from kingcupvane.connection.peer import PeerClient
 from kingcupvane.process.catalog import Catalog
+from kingcupvane.process.crash_trials import CrashTrials
 from kingcupvane.process.evidence_collection import EvidenceCollector
 from kingcupvane.process.mirror import Mirror
 from kingcupvane.process.peering import PeerTable
@@ -31,8 +34,8 @@
 from kingcupvane.process.rollout import RolloutStates, TrackedRollouts
 from kingcupvane.process.summary import UsageTotals, summarize
 from kingcupvane.process.timeline import HybridClock, Timeline
+from kingcupvane.request.crashes import CrashRegistry
 from kingcupvane.request.quota import PEER_SILENCE_S, DistributedQuota
-from kingcupvane.request.retry import CrashRegistry
 from kingcupvane.version.move import MoveState, Phase
 from kingcupvane.version.rollout_checkpoint import RolloutCheckpoint
 
@@ -98,6 +101,7 @@
         catalog: Catalog,
         quota: DistributedQuota,
         crashes: CrashRegistry,
+        trials: CrashTrials,
         rollout_states: RolloutStates,
         tracked_rollouts: TrackedRollouts,
         collector: EvidenceCollector,
@@ -117,7 +121,8 @@
             mirror: The mirror of the store.
             catalog: Source of the demand by service.
             quota: Usage of accounts, updated from peers.
-            crashes: Fingerprints of requests that crash targets.
+            crashes: Requests that crash targets.
+            trials: Replies to messages about trials of such requests.
             rollout_states: States of rollouts.
             tracked_rollouts: Rollouts of all specifications in the store, ended
                 ones included.
@@ -135,6 +140,7 @@
         self._catalog = catalog
         self._quota = quota
         self._crashes = crashes
+        self._trials = trials
         self._rollout_states = rollout_states
         self._tracked_rollouts = tracked_rollouts
         self._collector = collector
@@ -158,6 +164,8 @@
                 return self._report_for(
                     local=self._is_local(message.record), alone=message.alone
                 )
+            case TrialRequest() | TrialEnded():
+                return self._trials.reply_to(message)
             case MirrorRequest():
                 return self._replicator.changes_since(message)
             case EvidenceRequest(services=services, reading=reading):
@@ -215,7 +223,7 @@
             use=self._quota.usage_by_account(now) if local else {},
             demand=self._catalog.demand() if local else {},
             in_flight=self._catalog.in_flight() if local else {},
-            crashes=self._crashes.snapshot(),
+            crashes=self._crashes.snapshot(now),
             leaving=self._catalog.announced_leaving(),
             states=list(self._rollout_states.states_by_name.values()),
             rollouts=[
--- a/kingcupvane/request/dispatch.py
+++ b/kingcupvane/request/dispatch.py
@@ -20,9 +20,10 @@
 from kingcupvane.request import refusals
 from kingcupvane.request.concurrency import ExchangeOutcome
 from kingcupvane.request.context import RequestContext
+from kingcupvane.request.crashes import CrashRegistry
 from kingcupvane.request.load_balancing import LoadBalancer
 from kingcupvane.request.queue import FairQueue
-from kingcupvane.request.retry import CrashRegistry, RetryBudget
+from kingcupvane.request.retry import RetryBudget
 from kingcupvane.request.target_request import build_target_request
 from kingcupvane.settings import QueueSettings, RetrySettings
 from kingcupvane.version.configuration import Configuration
@@ -338,7 +339,9 @@
         started_at: float,
     ) -> None:
         if isinstance(result, TargetResponse):
-            self._crashes.clear_suspicion(context.fingerprint)
+            self._crashes.clear_suspicion(
+                context.fingerprint, self._clock.now()
+            )
         else:
             kind = result.kind
             if kind in (ExchangeFailureKind.NOT_SENT, ExchangeFailureKind.SHED):
@@ -383,7 +386,11 @@
             return False
         now = self._clock.now()
         refused = self._crashes.record_crash(
-            context.fingerprint, started_at=started_at, now=now
+            context.fingerprint,
+            started_at=started_at,
+            now=now,
+            # Targets of entries keep their name when they start again.
+            process=f"{target.name}/{now:.0f}",
         )
         if refused:
             self._timeline.record(
--- a/kingcupvane/request/gateway_request.py
+++ b/kingcupvane/request/gateway_request.py
@@ -90,6 +90,8 @@
         attempted_targets: Names of the targets tried, in order.
         excluded_targets: Names of the targets that get no further attempt.
         executions: Number of attempts that a target may have executed.
+        is_crash_trial: Whether it is the only copy of a quarantined request
+            that may be sent now.
         trace: Summary of each attempt: target, outcome, latency, expected
             latency and wait in milliseconds, and `known` or `new` for the
             affinity key at the target.
@@ -109,6 +111,7 @@
     attempted_targets: list[str] = field(default_factory=list)
     excluded_targets: set[str] = field(default_factory=set)
     executions: int = 0
+    is_crash_trial: bool = False
     trace: list[str] = field(default_factory=list)
 
     @property
@@ -155,12 +158,15 @@
     Attributes:
         fingerprint: Fingerprint of the request.
         target: Name of the target.
+        process: Identifies the target's process: it may start again under its
+            name.
         address: Host and port of the target.
         started_at: Monotonic time at which the attempt began, in seconds.
     """
 
     fingerprint: str
     target: str
+    process: str
     address: str
     started_at: float
 
--- a/kingcupvane/request/order_runner.py
+++ b/kingcupvane/request/order_runner.py
@@ -19,6 +19,7 @@
 from kingcupvane.process.timeline import Timeline
 from kingcupvane.request import refusals
 from kingcupvane.request.context import RequestContext
+from kingcupvane.request.crashes import CrashRegistry
 from kingcupvane.request.dispatch import Dispatcher
 from kingcupvane.request.order import (
     DONE,
@@ -31,7 +32,6 @@
     refuse_repeat,
     segment_key,
 )
-from kingcupvane.request.retry import CrashRegistry
 from kingcupvane.settings import OrderSettings
 from kingcupvane.version.configuration import Configuration
 from kingcupvane.version.items import Target
--- a/kingcupvane/request/pipeline.py
+++ b/kingcupvane/request/pipeline.py
@@ -18,7 +18,9 @@
 from kingcupvane.connection.target_connection import WireResponse
 from kingcupvane.errors import Executed, Refusal, Step
 from kingcupvane.process.catalog import Catalog
+from kingcupvane.process.crash_trials import Admission, CrashTrials
 from kingcupvane.process.metrics import GatewayMetrics
+from kingcupvane.request.crashes import CrashRegistry
 from kingcupvane.request.gateway_request import (
     Attempt,
     GatewayRequest,
@@ -28,11 +30,7 @@
 from kingcupvane.request.placement import AttemptOutcome
 from kingcupvane.request.quota import DistributedQuota
 from kingcupvane.request.resolution import RequestResolver
-from kingcupvane.request.retry import (
-    CrashRegistry,
-    RetryBudget,
-    compute_fingerprint,
-)
+from kingcupvane.request.retry import RetryBudget, compute_fingerprint
 from kingcupvane.request.selection import DestinationPicker, TargetSelector
 from kingcupvane.request.sending import (
     REMAINING_TIME_MIN_S,
@@ -46,6 +44,11 @@
 TOTAL_ATTEMPTS_MAX = 4
 # Assumed wait for a slot while a service has no registered target, in seconds.
 NO_TARGET_WAIT_S = 0.3
+# Share of its remaining time for which a copy of a quarantined request waits
+# for the trial of another copy.
+TRIAL_WAIT_SHARE = 0.5
+# Smallest Retry-After of a request that crashes targets, in seconds.
+TRIAL_RETRY_AFTER_MIN_S = 0.3
 # Outcomes of attempts that the service's targets have not seen.
 UNSENT_OUTCOMES = (AttemptOutcome.UNREACHABLE, AttemptOutcome.WITHHELD)
 # Callers may take these statuses as a promise that the request did not run.
@@ -119,6 +122,7 @@
         sender: TargetSender,
         quota: DistributedQuota,
         crashes: CrashRegistry,
+        trials: CrashTrials,
         retry_budgets: RetryBudgets,
         metrics: GatewayMetrics,
         names: WireNames,
@@ -132,7 +136,8 @@
             selector: Selects the target of each attempt.
             sender: Sends requests to targets.
             quota: Rate limits of client accounts.
-            crashes: Fingerprints of requests that crash targets.
+            crashes: Requests that crash targets.
+            trials: Admits copies of quarantined requests to targets.
             retry_budgets: Retry budgets by service.
             metrics: Counts requests and refusals, measures latency.
             names: Header, cookie and path names.
@@ -145,6 +150,7 @@
         self._sender = sender
         self._quota = quota
         self._crashes = crashes
+        self._trials = trials
         self._retry_budgets = retry_budgets
         self._metrics = metrics
         self._names = names
@@ -238,13 +244,7 @@
             body=gateway_request.body,
         )
         if self._crashes.is_refused(gateway_request.fingerprint, now):
-            return Err(
-                make_refusal(
-                    HTTPStatus.SERVICE_UNAVAILABLE,
-                    "crashes-targets",
-                    Step.ADMIT,
-                )
-            )
+            return Err(self._crash_refusal(gateway_request))
         account = gateway_request.account
         if account is not None and not self._quota.admit(account, now):
             retry_in_s = retry_after_s(
@@ -265,6 +265,41 @@
         self._catalog.count_request(gateway_request.service)
         return Ok(None)
 
+    def _crash_refusal(self, gateway_request: GatewayRequest) -> Refusal:
+        """Returns the refusal of a request that crashes targets."""
+        wait_s = self._crashes.trial_wait_s(
+            gateway_request.fingerprint, self._clock.now()
+        )
+        return make_refusal(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            "crashes-targets",
+            Step.ADMIT,
+            retry_after_s=max(wait_s, TRIAL_RETRY_AFTER_MIN_S),
+        )
+
+    async def _may_try(self, gateway_request: GatewayRequest) -> bool:
+        """Returns whether a request may be sent, as for crashes of targets.
+
+        A copy of a quarantined request waits for the trial of another one for
+        half of the time that it has left.
+        """
+        self._end_trial(gateway_request)
+        fingerprint = gateway_request.fingerprint
+        now = self._clock.now()
+        if not self._crashes.is_quarantined(fingerprint, now):
+            return True
+        remaining_s = gateway_request.deadline - now
+        admission = await self._trials.admit(
+            fingerprint, give_up_at=now + TRIAL_WAIT_SHARE * remaining_s
+        )
+        gateway_request.is_crash_trial = admission is Admission.TRIAL
+        return admission is not Admission.REFUSED
+
+    def _end_trial(self, gateway_request: GatewayRequest) -> None:
+        if gateway_request.is_crash_trial:
+            gateway_request.is_crash_trial = False
+            self._trials.end(gateway_request.fingerprint)
+
     async def _serve(
         self, gateway_request: GatewayRequest
     ) -> Result[WireResponse, Refusal] | None:
@@ -273,8 +308,24 @@
         Returns:
             The response or a refusal; None when the caller disconnected.
         """
+        try:
+            return await self._make_attempts(gateway_request)
+        finally:
+            self._end_trial(gateway_request)
+
+    async def _make_attempts(
+        self, gateway_request: GatewayRequest
+    ) -> Result[WireResponse, Refusal] | None:
         last: Attempt | None = None
         while True:
+            if not await self._may_try(gateway_request):
+                if last is None:
+                    return Err(self._crash_refusal(gateway_request))
+                return Err(
+                    self._final_refusal(
+                        gateway_request, last, "the request crashes targets"
+                    )
+                )
             now = self._clock.now()
             remaining_s = gateway_request.deadline - now
             if remaining_s < REMAINING_TIME_MIN_S:
--- a/kingcupvane/request/sending.py
+++ b/kingcupvane/request/sending.py
@@ -1,6 +1,6 @@
 """Sends a gateway's request to one target and records the outcome."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
 import trio
@@ -22,6 +22,7 @@
     parse_reported_load,
     read_announcement,
 )
+from kingcupvane.request.crashes import CrashRegistry
 from kingcupvane.request.dispatch import ExchangeSample
 from kingcupvane.request.gateway_request import (
     Attempt,
@@ -39,7 +40,6 @@
     nominal_latency_s,
     record_service_time,
 )
-from kingcupvane.request.retry import CrashRegistry
 from kingcupvane.request.selection import TargetSelector
 
 # Extra wait past the deadline, in seconds, for responses that arrive just then.
@@ -75,6 +75,7 @@
         clock: Clock,
         log_event: Callable[..., None],
         report_suspected_crash: Callable[[SuspectedCrash], None],
+        check_suspected_crash: Callable[[SuspectedCrash], Awaitable[None]],
         report_unanswered: Callable[[UnansweredExchange], None],
     ):
         """Makes a sender.
@@ -91,6 +92,7 @@
             log_event: Logs an event; takes its kind and fields.
             report_suspected_crash: Takes a request whose exchange broke off,
                 to check whether the target died.
+            check_suspected_crash: The same, but waits for a first check.
             report_unanswered: Takes an exchange without a response, to count it
                 as evidence if the target lives.
         """
@@ -104,6 +106,7 @@
         self._clock = clock
         self._log_event = log_event
         self._report_suspected_crash = report_suspected_crash
+        self._check_suspected_crash = check_suspected_crash
         self._report_unanswered = report_unanswered
 
     async def send(
@@ -185,8 +188,21 @@
             )
         if gateway_request.service in self._catalog.rollout_specs_by_service:
             self._count_evidence(gateway_request, candidate, attempt, elapsed_s)
-        if answered:
-            self._crashes.clear_suspicion(gateway_request.fingerprint)
+        if attempt.response is not None and not attempt.not_executed:
+            self._clear_suspicion(gateway_request, target=view.target.name)
+
+    def _clear_suspicion(
+        self, gateway_request: GatewayRequest, *, target: str
+    ) -> None:
+        """Notes that a target gave a complete response to a request."""
+        fingerprint = gateway_request.fingerprint
+        if self._crashes.clear_suspicion(fingerprint, self._clock.now()):
+            self._log_event(
+                "crash-suspicion-cleared",
+                fingerprint=fingerprint,
+                target=target,
+                request=gateway_request.id,
+            )
 
     def _count_evidence(
         self,
@@ -262,14 +278,18 @@
                     gateway_request, response
                 )
         except ExchangeBrokenError as error:
-            self._report_suspected_crash(
-                SuspectedCrash(
-                    fingerprint=gateway_request.fingerprint,
-                    target=target.name,
-                    address=target.address,
-                    started_at=started_at,
-                )
+            suspected = SuspectedCrash(
+                fingerprint=gateway_request.fingerprint,
+                target=target.name,
+                process=f"{target.name}/{target.started_ms}",
+                address=target.address,
+                started_at=started_at,
             )
+            if gateway_request.route.is_idempotent:
+                # Another target must not get a request that crashed this one.
+                await self._check_suspected_crash(suspected)
+            else:
+                self._report_suspected_crash(suspected)
             return Attempt(outcome=AttemptOutcome.BROKEN, detail=str(error))
         finally:
             if not matches_request:
--- a/kingcupvane/tests/test_crash_verifier.py
+++ b/kingcupvane/tests/test_crash_verifier.py
@@ -9,18 +9,22 @@
     CrashVerifier,
 )
 from kingcupvane.process.evidence import EvidenceCounter
+from kingcupvane.request.crashes import CrashRegistry
 from kingcupvane.request.dispatch import ExchangeSample
 from kingcupvane.request.gateway_request import (
     SuspectedCrash,
     UnansweredExchange,
 )
-from kingcupvane.request.retry import CrashRegistry
 from kingcupvane.settings import RetrySettings
 
 
 def suspicion(address):
     return SuspectedCrash(
-        fingerprint="p", target="t", address=address, started_at=1000.0
+        fingerprint="p",
+        target="t",
+        process="t/1",
+        address=address,
+        started_at=1000.0,
     )
 
 
--- a/kingcupvane/tests/test_pipeline.py
+++ b/kingcupvane/tests/test_pipeline.py
@@ -20,10 +20,13 @@
     TargetUpdate,
     UnreadableItem,
 )
+from kingcupvane.process.crash_trials import CrashTrials
 from kingcupvane.process.evidence import EvidenceCounter
 from kingcupvane.process.metrics import GatewayMetrics
+from kingcupvane.process.peering import PeerTable
 from kingcupvane.process.rollout import RolloutStates
 from kingcupvane.request.announcements import instance_of
+from kingcupvane.request.crashes import CrashRegistry
 from kingcupvane.request.gateway_request import WireNames
 from kingcupvane.request.pipeline import (
     RequestPipeline,
@@ -32,7 +35,7 @@
 )
 from kingcupvane.request.placement import Locality
 from kingcupvane.request.quota import DistributedQuota
-from kingcupvane.request.retry import CrashRegistry, RetryBudget
+from kingcupvane.request.retry import RetryBudget
 from kingcupvane.request.selection import TargetSelector
 from kingcupvane.request.sending import TargetSender
 from kingcupvane.settings import RetrySettings
@@ -42,6 +45,7 @@
     route_plan,
     traffic_plan,
 )
+from kingcupvane.tests.test_peering import record
 from kingcupvane.version.plan import Destination, RolloutSpec, RouteKind
 
 NAMES = WireNames(
@@ -150,6 +154,19 @@
         return [name for name, _ in self.sent]
 
 
+class TickingClock:
+    """Advances a manual clock whenever it is read, for tasks that wait."""
+
+    def __init__(self, clock):
+        """Takes the clock to advance."""
+        self._clock = clock
+
+    def now(self):
+        """Returns the time after one more step."""
+        self._clock.advance(0.05)
+        return self._clock.now()
+
+
 class Gateway:
     """A request pipeline with three targets and, by default, one route."""
 
@@ -189,6 +206,7 @@
             clock=clock,
             log_event=timeline.record,
             report_suspected_crash=self.suspected_crashes.append,
+            check_suspected_crash=self.check_suspected_crash,
             report_unanswered=self.unanswered_exchanges.append,
         )
         self.pipeline = RequestPipeline(
@@ -197,6 +215,14 @@
             sender=sender,
             quota=self.quota,
             crashes=self.crashes,
+            trials=CrashTrials(
+                crashes=self.crashes,
+                peers=PeerTable(own=record("g")),
+                client=None,
+                is_ready=lambda: True,
+                clock=TickingClock(clock),
+                timeline=timeline,
+            ),
             retry_budgets=RetryBudgets(
                 create_budget=lambda: RetryBudget(
                     settings=RetrySettings(share=0.2, burst=10)
@@ -209,6 +235,7 @@
         )
         for name in ("t0", "t1", "t2"):
             self.register(registered_target(name))
+        self.dead_targets = set()
         if routes is None:
             routes = (route_plan(),)
         self.plan = traffic_plan(*routes, accounts=accounts)
@@ -217,6 +244,16 @@
     def log_event(self, kind, *, low_priority=False, **fields):
         self.logged_events.append((kind, low_priority, fields))
 
+    async def check_suspected_crash(self, suspicion):
+        self.suspected_crashes.append(suspicion)
+        if suspicion.target in self.dead_targets:
+            self.crashes.record_crash(
+                suspicion.fingerprint,
+                started_at=suspicion.started_at,
+                now=self.clock.now(),
+                process=f"{suspicion.process}/{self.clock.now()}",
+            )
+
     def register(self, registered):
         self.catalog.apply(
             TargetUpdate(name=registered.name, target=registered)
@@ -543,6 +580,53 @@
     assert gateway.send_request(body=b"harmless")[0] == 200
 
 
+def crash_of(gateway):
+    """Returns a script entry: the target dies with the request."""
+
+    def exchange(name):
+        gateway.dead_targets.add(name)
+        gateway.clock.advance(0.2)
+        return ExchangeBrokenError("reset")
+
+    return exchange
+
+
+# Review case 3: the second attempt was sent before the first crash was known.
+def test_retries_of_a_request_that_crashes_targets_are_counted(make_gateway):
+    gateway = make_gateway()
+    gateway.pool.script = [crash_of(gateway)] * 20
+    statuses = []
+    for _ in range(12):
+        statuses.append(gateway.send_request()[0])
+        gateway.clock.advance(2.0)
+    # Two attempts at once, and three trials in 24 s.
+    assert len(gateway.dead_targets) <= 3
+    assert len(gateway.pool.sent) <= 5
+    assert statuses[0] == 502
+    assert statuses[-1] == 503
+
+
+def test_refusal_of_a_request_that_crashes_targets_tells_when_to_return(
+    make_gateway,
+):
+    gateway = make_gateway()
+    gateway.pool.script = [crash_of(gateway)] * 20
+    for _ in range(2):
+        gateway.send_request()
+    status, headers, _ = gateway.send_request()
+    assert status == 503
+    assert 0.3 <= float(headers[b"retry-after"]) <= 3.0
+
+
+# Review case 4: two crashes of targets while an innocent lookup ran there.
+def test_lookup_that_ran_on_lost_targets_is_tried_and_then_served(make_gateway):
+    gateway = make_gateway()
+    gateway.pool.script = [crash_of(gateway)] * 2
+    assert gateway.send_request()[0] == 502
+    for _ in range(5):
+        assert gateway.send_request()[0] == 200
+
+
 def test_served_request_logs_one_event_with_all_attempts(make_gateway):
     gateway = make_gateway(
         SHED_RESPONSE, response(), accounts=(account_plan(),)
--- a/kingcupvane/tests/test_retry.py
+++ b/kingcupvane/tests/test_retry.py
@@ -1,11 +1,8 @@
 """Tests of the retry budget, the crash registry and the fair queue."""
 
+from kingcupvane.request.crashes import CrashRegistry
 from kingcupvane.request.queue import FairQueue
-from kingcupvane.request.retry import (
-    CrashRegistry,
-    RetryBudget,
-    compute_fingerprint,
-)
+from kingcupvane.request.retry import RetryBudget, compute_fingerprint
 from kingcupvane.settings import RetrySettings
 
 SETTINGS = RetrySettings()
@@ -38,10 +35,10 @@
     for registry in (first_registry, second_registry):
         for target in range(3):
             registry.record_crash("p", started_at=0.0, now=1.0 + target / 100)
-    assert not second_registry.merge(first_registry.snapshot(), 2.0)
+    assert not second_registry.merge(first_registry.snapshot(2.0), 2.0)
     assert not first_registry.is_refused("p", 2.0)
     assert not second_registry.is_refused("p", 2.0)
-    first_registry.clear_suspicion("p")
+    first_registry.clear_suspicion("p", 2.0)
     assert not first_registry.is_suspect("p", 2.0)
 
 
@@ -49,10 +46,10 @@
     first_registry = CrashRegistry(settings=SETTINGS)
     second_registry = CrashRegistry(settings=SETTINGS)
     first_registry.record_crash("p", started_at=0.0, now=1.0)
-    second_registry.merge(first_registry.snapshot(), 2.0)
+    second_registry.merge(first_registry.snapshot(2.0), 2.0)
     assert second_registry.is_suspect("p", 2.0)
     assert second_registry.record_crash("p", started_at=3.0, now=4.0)
-    assert first_registry.merge(second_registry.snapshot(), 5.0) == ["p"]
+    assert first_registry.merge(second_registry.snapshot(5.0), 5.0) == ["p"]
     assert first_registry.is_refused("p", 5.0)
 
 
