Clients: responses of the store and of an entry's targets are read within limits

Cause: httpcore reads a whole body whatever its size; the timeout of a call bounds time, not bytes. A listing also went on while a store announced one more page.

Change: connection/bounded_response.py reads through the limits of the pool for targets; both store clients and the entry's client use it. A listing ends with an error when its pages do not advance, and at 64 MiB.

--- /dev/null
+++ b/kingcupvane/connection/bounded_response.py
@@ -0,0 +1,89 @@
+"""Bounded reading of responses that httpcore receives.
+
+httpcore reads a whole body into memory however large it is. A faulty server may
+send bytes without end, so the clients that use httpcore read through here.
+"""
+
+from dataclasses import dataclass
+
+import httpcore
+import trio
+
+from kingcupvane.connection.response_buffer import (
+    RESPONSE_MAX_BYTES,
+    AnswerTooLargeError,
+    PartialResponse,
+    ResponseMemoryBudget,
+)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BoundedResponse:
+    """A complete response within the limits.
+
+    Attributes:
+        status: HTTP status code.
+        content: The body.
+    """
+
+    status: int
+    content: bytes
+
+
+async def request(
+    pool: httpcore.AsyncConnectionPool,
+    method: str,
+    url: str,
+    *,
+    content: bytes,
+    headers: dict[str, str],
+    memory: ResponseMemoryBudget,
+) -> BoundedResponse:
+    """Sends a request and reads its response.
+
+    Args:
+        pool: The connections.
+        method: HTTP method.
+        url: URL of the request.
+        content: Body of the request.
+        headers: Headers of the request.
+        memory: Budget shared by the incomplete responses of a client.
+
+    Raises:
+        AnswerTooLargeError: The response exceeds a limit; its connection is
+            closed.
+    """
+    async with pool.stream(
+        method, url, content=content, headers=headers
+    ) as response:
+        check_announced_size(response)
+        partial = PartialResponse(memory=memory)
+        try:
+            async for chunk in response.aiter_stream():
+                await add_chunk(partial, chunk)
+            return BoundedResponse(status=response.status, content=partial.body)
+        finally:
+            partial.close()
+
+
+def check_announced_size(response: httpcore.Response) -> None:
+    """Checks the length that a response announces.
+
+    Raises:
+        AnswerTooLargeError: It exceeds the limit.
+    """
+    for name, value in response.headers:
+        if name.lower() != b"content-length" or not value.isdigit():
+            continue
+        if int(value) > RESPONSE_MAX_BYTES:
+            raise AnswerTooLargeError(f"{int(value)} bytes are announced")
+
+
+async def add_chunk(partial: PartialResponse, chunk: bytes) -> None:
+    """Adds a chunk of a body, and lets other tasks run now and then.
+
+    Raises:
+        AnswerTooLargeError: The response exceeds a limit.
+    """
+    if partial.add(chunk):
+        await trio.lowlevel.checkpoint()
--- a/kingcupvane/connection/target_client.py
+++ b/kingcupvane/connection/target_client.py
@@ -14,6 +14,15 @@
 import trio
 
 from kingcupvane.asgi import Send
+from kingcupvane.connection.bounded_response import (
+    add_chunk,
+    check_announced_size,
+)
+from kingcupvane.connection.response_buffer import (
+    AnswerTooLargeError,
+    PartialResponse,
+    ResponseMemoryBudget,
+)
 from kingcupvane.version.items import Target
 
 CONNECTIONS_PER_TARGET = 64
@@ -140,6 +149,7 @@
                 are streamed.
         """
         self._whole_max_bytes = whole_max_bytes
+        self._memory = ResponseMemoryBudget()
         self._pools_by_address: dict[str, httpcore.AsyncConnectionPool] = {}
 
     async def close(self) -> None:
@@ -188,6 +198,7 @@
             httpcore.NetworkError,
             httpcore.ProtocolError,
             httpcore.TimeoutException,
+            AnswerTooLargeError,
         ) as error:
             response_started = sink is not None and sink.response_started
             return ExchangeFailure(
@@ -217,42 +228,51 @@
             if name.lower().decode() not in HOP_BY_HOP_HEADERS
         ]
         headers_by_name = dict(headers)
-        parts: list[bytes] = []
-        size = 0
-        chunks = response.aiter_stream()
-        async for chunk in chunks:
-            parts.append(chunk)
-            size += len(chunk)
-            if sink is not None and size > self._whole_max_bytes:
-                await self._stream_to_sink(
-                    response.status, headers, parts, chunks, sink
-                )
-                return TargetResponse(
-                    status=response.status,
-                    headers=headers,
-                    body=b"",
-                    streamed=True,
-                )
+        partial = PartialResponse(memory=self._memory)
+        try:
+            if sink is None:
+                check_announced_size(response)
+            size = 0
+            chunks = response.aiter_stream()
+            async for chunk in chunks:
+                await add_chunk(partial, chunk)
+                size += len(chunk)
+                if sink is not None and size > self._whole_max_bytes:
+                    await self._stream_to_sink(
+                        response.status,
+                        headers,
+                        partial.body,
+                        chunks,
+                        sink,
+                    )
+                    return TargetResponse(
+                        status=response.status,
+                        headers=headers,
+                        body=b"",
+                        streamed=True,
+                    )
+            body = partial.body
+        finally:
+            partial.close()
         if (
             response.status == SERVICE_UNAVAILABLE
             and NOT_RUN_HEADER.encode() in headers_by_name
         ):
             return ExchangeFailure(kind=ExchangeFailureKind.SHED, detail="shed")
         return TargetResponse(
-            status=response.status, headers=headers, body=b"".join(parts)
+            status=response.status, headers=headers, body=body
         )
 
     async def _stream_to_sink(
         self,
         status: int,
         headers: list[tuple[bytes, bytes]],
-        parts: list[bytes],
+        beginning: bytes,
         rest: AsyncIterator[bytes],
         sink: ResponseSink,
     ) -> None:
         await sink.begin(status, headers)
-        for part in parts:
-            await sink.write(part)
+        await sink.write(beginning)
         async for chunk in rest:
             await sink.write(chunk)
         await sink.end()
--- a/kingcupvane/platform/store.py
+++ b/kingcupvane/platform/store.py
@@ -12,6 +12,12 @@
 import trio
 from result import Err, Ok, Result
 
+from kingcupvane.connection import bounded_response
+from kingcupvane.connection.bounded_response import BoundedResponse
+from kingcupvane.connection.response_buffer import (
+    AnswerTooLargeError,
+    ResponseMemoryBudget,
+)
 from kingcupvane.errors import StoreError
 from kingcupvane.process.store import (
     ABSENT_REVISION,
@@ -30,6 +36,8 @@
 GONE = 410
 SERVICE_UNAVAILABLE = 503
 SUCCESS_STATUS_MAX = 299
+# Largest listing that is accepted, over all its pages.
+LISTING_MAX_BYTES = 64 * 1024 * 1024
 # Time that the reply to a watch may take beyond the watch's own wait.
 WATCH_TIMEOUT_MARGIN_S = 1.0
 MILLISECONDS_PER_SECOND = 1000
@@ -109,17 +117,27 @@
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=CONNECTIONS_MAX, keepalive_expiry=KEEP_ALIVE_S
         )
+        self._memory = ResponseMemoryBudget()
         self._in_flight = 0
         self._is_retired = False
 
     async def request(
         self, method: str, url: str, *, content: bytes, headers: dict[str, str]
-    ) -> httpcore.Response:
-        """Sends a request and returns the response."""
+    ) -> BoundedResponse:
+        """Sends a request and returns the response.
+
+        Raises:
+            AnswerTooLargeError: The response exceeds a limit.
+        """
         self._in_flight += 1
         try:
-            return await self._pool.request(
-                method, url, content=content, headers=headers
+            return await bounded_response.request(
+                self._pool,
+                method,
+                url,
+                content=content,
+                headers=headers,
+                memory=self._memory,
             )
         finally:
             self._in_flight -= 1
@@ -189,6 +207,7 @@
         """
         items: list[Item] = []
         revision = 0
+        size_bytes = 0
         after = ""
         while True:
             query = {"pathPrefix": prefix}
@@ -204,10 +223,21 @@
             if isinstance(decoded, Err):
                 return decoded
             page = decoded.ok_value
+            size_bytes += len(reply.ok_value[1])
+            if size_bytes > LISTING_MAX_BYTES:
+                return self._fail(
+                    "scan",
+                    f"over {LISTING_MAX_BYTES} bytes",
+                    had_no_effect=True,
+                )
             items.extend(_to_item(item) for item in page.items)
             revision = revision or page.asOf
             if not page.morePages or not page.items:
                 return Ok(Listing(items=items, revision=revision))
+            if page.items[-1].key <= after:
+                return self._fail(
+                    "scan", "the pages do not advance", had_no_effect=True
+                )
             after = page.items[-1].key
 
     async def compare_and_swap(
@@ -339,6 +369,8 @@
                 httpcore.TimeoutException,
             ) as error:
                 detail = type(error).__name__
+            except AnswerTooLargeError as error:
+                detail = f"{type(error).__name__}: {error}"
             else:
                 return self._check_status(operation, response)
         if scope.cancelled_caught:
@@ -355,7 +387,7 @@
         await connections.retire()
 
     def _check_status(
-        self, operation: str, response: httpcore.Response
+        self, operation: str, response: BoundedResponse
     ) -> Result[tuple[int, bytes], StoreError]:
         status = response.status
         is_expected = status in (NOT_FOUND, PRECONDITION_FAILED, GONE)
--- a/kingcupvane/process/store.py
+++ b/kingcupvane/process/store.py
@@ -13,6 +13,12 @@
 import trio
 from result import Err, Ok, Result
 
+from kingcupvane.connection import bounded_response
+from kingcupvane.connection.bounded_response import BoundedResponse
+from kingcupvane.connection.response_buffer import (
+    AnswerTooLargeError,
+    ResponseMemoryBudget,
+)
 from kingcupvane.errors import StoreError
 from kingcupvane.process.item import ABSENT_REVISION as ABSENT_REVISION
 from kingcupvane.process.item import Item as Item
@@ -148,6 +154,7 @@
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=CONNECTIONS_MAX
         )
+        self._memory = ResponseMemoryBudget()
         self.calls: dict[str, int] = {}
 
     async def close(self) -> None:
@@ -237,11 +244,13 @@
         detail = "timeout"
         with trio.move_on_after(timeout_s or self._timeout_s):
             try:
-                response = await self._pool.request(
+                response = await bounded_response.request(
+                    self._pool,
                     method,
                     f"http://{self._address}{raw_path_and_query}",
                     content=body,
                     headers={"content-length": str(len(body))},
+                    memory=self._memory,
                 )
             except httpcore.ConnectError as error:
                 return self._fail(operation, str(error), had_no_effect=True)
@@ -251,12 +260,14 @@
                 httpcore.TimeoutException,
             ) as error:
                 detail = type(error).__name__
+            except AnswerTooLargeError as error:
+                detail = f"{type(error).__name__}: {error}"
             else:
                 return self._check_status(operation, response)
         return self._fail(operation, detail, had_no_effect=False)
 
     def _check_status(
-        self, operation: str, response: httpcore.Response
+        self, operation: str, response: BoundedResponse
     ) -> Result[tuple[int, bytes], StoreError]:
         status = response.status
         if status <= SUCCESS_STATUS_MAX or status in (CONFLICT, NOT_FOUND):
--- a/kingcupvane/tests/test_platform_store.py
+++ b/kingcupvane/tests/test_platform_store.py
@@ -201,3 +201,16 @@
         assert (await store.get("a")).ok_value.value == "\ufffd"
 
     run_client(respond, check)
+
+
+# A faulty store that always announces one more page kept a listing growing.
+def test_listing_whose_pages_do_not_advance_is_an_error():
+    page = {"items": [{"key": "servers/a"}], "morePages": True, "asOf": 3}
+
+    async def check(store):
+        result = await store.scan("servers/")
+        assert "do not advance" in result.err_value.detail
+        assert not result.err_value.may_have_taken_effect
+
+    calls = run_client(lambda *_: (200, page), check)
+    assert len(calls) == 2
