--- a/kingcupvane/request/crashes.py
+++ b/kingcupvane/request/crashes.py
@@ -200,13 +200,6 @@
         suspicion = self._suspicions_by_fingerprint[fingerprint]
         return len(suspicion.crashes), suspicion.moments()
 
-    def quarantined_count(self, now: float) -> int:
-        """Returns the number of quarantined requests."""
-        return sum(
-            self.is_quarantined(fingerprint, now)
-            for fingerprint in self._suspicions_by_fingerprint
-        )
-
     def snapshot(self, now: float) -> list[SuspicionNotice]:
         """Returns what peers have to know: news, and what is quarantined."""
         self._expire(now)
--- a/kingcupvane/settings.py
+++ b/kingcupvane/settings.py
@@ -137,7 +137,7 @@
     crash_limit: int = Field(
         2,
         ge=1,
-        description="Target crashes after which a request is refused.",
+        description="Target crashes from which on copies are tried singly.",
     )
     crash_memory_s: float = Field(
         600.0,
