Requests that crash targets: a report is merged without a look at all for each

Cause: each notice of a report removed expired suspicions first, a pass over all of them, so that a report of n suspicions cost n times n.

--- a/kingcupvane/request/crashes.py
+++ b/kingcupvane/request/crashes.py
@@ -147,8 +147,9 @@
             process: Identifies the process of the target, in all daemons and
                 however late they are told; empty if it is unknown.
         """
+        self._expire(now)
         was_refused = self.is_refused(fingerprint, now)
-        self._suspicion(fingerprint, now).add(
+        self._suspicion(fingerprint).add(
             _Crash(process=process, started_at=started_at, crashed_at=now)
         )
         return not was_refused and self.is_refused(fingerprint, now)
@@ -239,7 +240,7 @@
         for notice in notices:
             fingerprint = notice.fingerprint
             was_refused = self.is_refused(fingerprint, now)
-            suspicion = self._suspicion(fingerprint, now)
+            suspicion = self._suspicion(fingerprint)
             if notice.cleared_age_s != float("inf"):
                 suspicion.clear(now - notice.cleared_age_s)
             for crash in notice.crashes:
@@ -264,9 +265,8 @@
             return []
         return suspicion.crashes
 
-    def _suspicion(self, fingerprint: str, now: float) -> _Suspicion:
+    def _suspicion(self, fingerprint: str) -> _Suspicion:
         """Returns the suspicion of a request; makes one where needed."""
-        self._expire(now)
         suspicion = self._suspicions_by_fingerprint.get(fingerprint)
         if suspicion is None:
             suspicion = _Suspicion()
