Clients: one check of the announced length; a test puts its plan as others do

The pool for targets and the clients on httpcore each looked for a length over the limit; response_buffer.check_announced_size serves both now. h11 lets only digits through, so that the pool behaves as before. lone_gateway used a key of the platform where HistoryStore.put_plan stands.

--- a/kingcupvane/connection/bounded_response.py
+++ b/kingcupvane/connection/bounded_response.py
@@ -10,10 +10,9 @@
 import trio
 
 from kingcupvane.connection.response_buffer import (
-    RESPONSE_MAX_BYTES,
-    AnswerTooLargeError,
     PartialResponse,
     ResponseMemoryBudget,
+    check_announced_size,
 )
 
 
@@ -56,7 +55,7 @@
     async with pool.stream(
         method, url, content=content, headers=headers
     ) as response:
-        check_announced_size(response)
+        check_announced_size(response.headers)
         partial = PartialResponse(memory=memory)
         try:
             async for chunk in response.aiter_stream():
@@ -66,19 +65,6 @@
             partial.close()
 
 
-def check_announced_size(response: httpcore.Response) -> None:
-    """Checks the length that a response announces.
-
-    Raises:
-        AnswerTooLargeError: It exceeds the limit.
-    """
-    for name, value in response.headers:
-        if name.lower() != b"content-length" or not value.isdigit():
-            continue
-        if int(value) > RESPONSE_MAX_BYTES:
-            raise AnswerTooLargeError(f"{int(value)} bytes are announced")
-
-
 async def add_chunk(partial: PartialResponse, chunk: bytes) -> None:
     """Adds a chunk of a body, and lets other tasks run now and then.
 
--- a/kingcupvane/connection/response_buffer.py
+++ b/kingcupvane/connection/response_buffer.py
@@ -5,6 +5,8 @@
 responses and the memory that all incomplete responses use together.
 """
 
+from collections.abc import Iterable
+
 import h11
 
 # Largest response body that is accepted.
@@ -29,6 +31,22 @@
     """
 
 
+def check_announced_size(headers: Iterable[tuple[bytes, bytes]]) -> None:
+    """Checks the length that a response announces.
+
+    Args:
+        headers: Header pairs; other than digits announces no length.
+
+    Raises:
+        AnswerTooLargeError: It exceeds the limit.
+    """
+    for name, value in headers:
+        if name.lower() != b"content-length" or not value.isdigit():
+            continue
+        if int(value) > RESPONSE_MAX_BYTES:
+            raise AnswerTooLargeError(f"{int(value)} bytes are announced")
+
+
 class ResponseMemoryBudget:
     """Accounts for the memory that incomplete responses use together.
 
@@ -75,9 +93,7 @@
             AnswerTooLargeError: Its Content-Length exceeds the limit.
         """
         self.response = response
-        for name, value in response.headers:
-            if name == b"content-length" and int(value) > RESPONSE_MAX_BYTES:
-                raise AnswerTooLargeError(f"{int(value)} bytes are announced")
+        check_announced_size(response.headers)
 
     def count_interim(self) -> None:
         """Counts an interim (1xx) response.
--- a/kingcupvane/connection/target_client.py
+++ b/kingcupvane/connection/target_client.py
@@ -14,14 +14,12 @@
 import trio
 
 from kingcupvane.asgi import Send
-from kingcupvane.connection.bounded_response import (
-    add_chunk,
-    check_announced_size,
-)
+from kingcupvane.connection.bounded_response import add_chunk
 from kingcupvane.connection.response_buffer import (
     AnswerTooLargeError,
     PartialResponse,
     ResponseMemoryBudget,
+    check_announced_size,
 )
 from kingcupvane.version.items import Target
 
@@ -231,7 +229,7 @@
         partial = PartialResponse(memory=self._memory)
         try:
             if sink is None:
-                check_announced_size(response)
+                check_announced_size(response.headers)
             size = 0
             chunks = response.aiter_stream()
             async for chunk in chunks:
--- a/kingcupvane/tests/lone_gateway.py
+++ b/kingcupvane/tests/lone_gateway.py
@@ -24,7 +24,7 @@
 async def run(target_address: str) -> None:
     """Runs until killed."""
     store = HistoryStore()
-    store.put("op/config", plan_document(1))
+    store.put_plan(plan_document(1))
     record = target_record(target_address)
     record["info"]["slots"] = SLOTS
     store.put("servers/i-1", record)
