Retries: counts by payment, a log line each second, budgets say by how many they were divided

The logs could not tell the hypotheses apart: nothing said by how many gateways a budget was divided, nothing counted retries, and a 421 was logged as a connection that was never opened.

Now retry-budget-created tells the gateways advertised and live and the retries in hand; kingcupvane_retries and the event 'retries' (once a second where there are any) count them by service and payment: paid, denied, or the free outcome before it; the outcome 'misdirected' is a 421. No decision changes: misdirected is treated as unreachable was everywhere. Tests of the pipeline, placement and the gateway pass.

--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -180,6 +180,7 @@
         self._evidence = EvidenceCounter()
         self._tracked_rollouts = TrackedRollouts()
         self._advertised_gateways: list[str] = [settings.name]
+        self._logged_retries: dict[tuple[str, str], int] = {}
 
     def _create_connections(self) -> None:
         settings = self._settings
@@ -342,12 +343,19 @@
             ASSUMED_GATEWAYS_MIN, len(self._advertised_gateways)
         )
         extra = settings.retry_extra / gateway_count
-        return RetryBudget(
+        budget = RetryBudget(
             settings=RetrySettings(
                 share=RETRY_BUDGET_SHARE * settings.retry_share,
                 burst=max(1, int(RETRY_BUDGET_SHARE * extra)),
             )
         )
+        self._timeline.record(
+            "retry-budget-created",
+            gateways=len(self._advertised_gateways),
+            live=len(self._peers.live_names(self._clock.now())),
+            retries=budget.remaining,
+        )
+        return budget
 
     async def run(self) -> None:
         """Runs until SIGTERM or SIGINT, then shuts down gracefully."""
@@ -472,8 +480,20 @@
                 last_slow_housekeeping_at = now
                 self._catalog.update_spillover(self._demand_by_region(now))
                 await self._pool.close_expired(self._catalog.views_by_name())
+                self._log_retries()
             await trio.sleep(HOUSEKEEPING_PERIOD_S)
 
+    def _log_retries(self) -> None:
+        """Logs the retries since the last call, by service and payment."""
+        counts = self._retry_budgets.counts()
+        for (service, payment), count in counts.items():
+            added = count - self._logged_retries.get((service, payment), 0)
+            if added:
+                self._timeline.record(
+                    "retries", service=service, payment=payment, count=added
+                )
+        self._logged_retries = counts
+
     def _update_gauges(self) -> None:
         """Sets the gauges to the current state."""
         now = self._clock.now()
@@ -515,6 +535,9 @@
             metrics.limited_requests.set({"service": service}, sum(rates))
         for service, remaining in self._retry_budgets.remaining().items():
             metrics.retry_budget.set({"service": service}, round(remaining, 1))
+        for (service, payment), count in self._retry_budgets.counts().items():
+            labels = {"service": service, "payment": payment}
+            metrics.retries.set(labels, count)
         if self._log_buffer is not None:
             metrics.log_lines_left_out.set({}, self._log_buffer.dropped)
 
--- a/kingcupvane/process/metrics.py
+++ b/kingcupvane/process/metrics.py
@@ -149,6 +149,10 @@
             "kingcupvane_retry_budget_requests",
             "Further attempts that this gateway may make, by service.",
         )
+        self.retries = self._gauge(
+            "kingcupvane_retries",
+            "Retries since start by service, and how the budget treated them.",
+        )
         self.connections_opened = self._gauge(
             "kingcupvane_target_connections_opened",
             "Connections to targets opened since start.",
--- a/kingcupvane/request/pipeline.py
+++ b/kingcupvane/request/pipeline.py
@@ -6,6 +6,7 @@
 where that is certain.
 """
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -50,7 +51,11 @@
 # Smallest Retry-After of a request that crashes targets, in seconds.
 TRIAL_RETRY_AFTER_MIN_S = 0.3
 # Outcomes of attempts that the service's targets have not seen.
-UNSENT_OUTCOMES = (AttemptOutcome.UNREACHABLE, AttemptOutcome.WITHHELD)
+UNSENT_OUTCOMES = (
+    AttemptOutcome.UNREACHABLE,
+    AttemptOutcome.MISDIRECTED,
+    AttemptOutcome.WITHHELD,
+)
 # Callers may take these statuses as a promise that the request did not run.
 NOT_EXECUTED_STATUSES = (
     HTTPStatus.REQUEST_TIMEOUT,
@@ -72,6 +77,21 @@
         """
         self._create_budget = create_budget
         self._budget_by_service: dict[str, RetryBudget] = {}
+        self._counts: Counter[tuple[str, str]] = Counter()
+
+    def count(self, service: str, payment: str) -> None:
+        """Counts a retry of a request.
+
+        Args:
+            service: The service.
+            payment: `paid` or `denied` by the budget; for a free retry, the
+                outcome of the attempt before it.
+        """
+        self._counts[service, payment] += 1
+
+    def counts(self) -> dict[tuple[str, str], int]:
+        """Returns the retries since the start, by service and payment."""
+        return dict(self._counts)
 
     def remaining(self) -> dict[str, float]:
         """Returns the number of retries that remain, by service."""
@@ -402,11 +422,14 @@
 
         A retry counts only if the target before it received the request.
         """
+        service = gateway_request.service
+        budgets = self._retry_budgets
         if last.outcome in UNSENT_OUTCOMES:
+            budgets.count(service, last.outcome.value)
             return True
-        return self._retry_budgets.for_service(
-            gateway_request.service
-        ).try_withdraw()
+        granted = budgets.for_service(service).try_withdraw()
+        budgets.count(service, "paid" if granted else "denied")
+        return granted
 
     def _final_result(
         self, gateway_request: GatewayRequest, last: Attempt
--- a/kingcupvane/request/placement.py
+++ b/kingcupvane/request/placement.py
@@ -86,7 +86,8 @@
         ANSWERED: With a complete response that is no server error.
         FAILED: With a server error.
         SHED: Refused by the target without running it.
-        UNREACHABLE: No connection, or it led to another target.
+        UNREACHABLE: No connection.
+        MISDIRECTED: The connection led to another target, which refused.
         WITHHELD: Not sent, since the target asked for no more requests while
             the connection was being opened.
         BROKEN: The connection broke, or the response did not come from the
@@ -99,6 +100,7 @@
     FAILED = "failed"
     SHED = "shed"
     UNREACHABLE = "unreachable"
+    MISDIRECTED = "misdirected"
     WITHHELD = "withheld"
     BROKEN = "broken"
     TIMEOUT = "timeout"
@@ -304,7 +306,7 @@
                 self._consecutive_failures += 1
                 if self._consecutive_failures >= FAILURES_TO_EJECT:
                     return self._eject(now)
-            case AttemptOutcome.UNREACHABLE:
+            case AttemptOutcome.UNREACHABLE | AttemptOutcome.MISDIRECTED:
                 self._record_failure(1.0)
                 return self._eject(now)
         return False
--- a/kingcupvane/request/sending.py
+++ b/kingcupvane/request/sending.py
@@ -55,6 +55,7 @@
     AttemptOutcome.CANCELLED,
     AttemptOutcome.SHED,
     AttemptOutcome.UNREACHABLE,
+    AttemptOutcome.MISDIRECTED,
     AttemptOutcome.WITHHELD,
 )
 
@@ -345,7 +346,7 @@
             misdirected = response.status == HTTPStatus.MISDIRECTED_REQUEST
             gateway_request.executions -= 1
             return Attempt(
-                outcome=AttemptOutcome.UNREACHABLE
+                outcome=AttemptOutcome.MISDIRECTED
                 if misdirected
                 else AttemptOutcome.SHED,
                 response=response,
--- a/kingcupvane/tests/test_pipeline.py
+++ b/kingcupvane/tests/test_pipeline.py
@@ -209,6 +209,11 @@
             check_suspected_crash=self.check_suspected_crash,
             report_unanswered=self.unanswered_exchanges.append,
         )
+        self.retry_budgets = RetryBudgets(
+            create_budget=lambda: RetryBudget(
+                settings=RetrySettings(share=0.2, burst=10)
+            )
+        )
         self.pipeline = RequestPipeline(
             catalog=self.catalog,
             selector=selector,
@@ -223,11 +228,7 @@
                 clock=TickingClock(clock),
                 timeline=timeline,
             ),
-            retry_budgets=RetryBudgets(
-                create_budget=lambda: RetryBudget(
-                    settings=RetrySettings(share=0.2, burst=10)
-                )
-            ),
+            retry_budgets=self.retry_budgets,
             metrics=self.metrics,
             names=NAMES,
             clock=clock,
@@ -880,3 +881,13 @@
         UnreadableItem(key="servers/t0", reason="odd", target="t0")
     )
     assert "t0" not in gateway.catalog.views_by_name()
+
+
+def test_retries_are_counted_by_service_and_payment(make_gateway):
+    gateway = make_gateway(MISDIRECTED_RESPONSE, SHED_RESPONSE, response())
+    gateway.send_request()
+    ((_, _, fields),) = gateway.logged_events
+    endings = [word.split(":")[1] for word in fields["attempts"].split(",")]
+    assert endings == ["misdirected", "shed", "answered"]
+    counts = gateway.retry_budgets.counts()
+    assert counts == {("reads", "misdirected"): 1, ("reads", "paid"): 1}
