Retries: the fleet's extra retries are divided by demand, and parts add up whatever is seen

What callers saw: after a restart of all 195 gateways the lookup servers got more repeats than allowed (2,051 in 10 s, 1,862 allowed).

Cause: a gateway fixed its part at a service's first use by the gateways advertised then, at least ten, and kept it. It divided by the 27 advertised ones though all 195 retry, by as few as ten after a restart, and a new process began with the whole part again. Class: a share of a fleet's allowance taken from what one process happens to see.

Change: request/retry_budgets.py. The extra number is divided by demand, anew five times a second: own demand counts once the others have heard of it (2 s), theirs as last heard, and only as far as the gateway hears of all that are live or registered; without registration and with some silent, it has no part. A process starts with nothing; parts below one retry are spent by chance. GatewayRegistration tells whether the store is sure to list the gateway.

In the simulated fleet a gateway serves once it has a plan, as the product: one that was restarted behind a cut knows nobody and serves nobody.

Ruled out: equal parts (27 of 195 gateways have the callers, most would be idle); demand at once (gateways that start together each take the whole); leaving silent ones out after a time (both sides of a cut take the whole).

--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -1,5 +1,6 @@
 """The gateway daemon, configured by plans in the platform's store."""
 
+import random
 import signal
 from collections.abc import Callable
 from functools import partial
@@ -46,10 +47,14 @@
 from kingcupvane.process.timeline import HybridClock, Timeline
 from kingcupvane.request.crashes import CrashRegistry
 from kingcupvane.request.gateway_request import WireNames
-from kingcupvane.request.pipeline import RequestPipeline, RetryBudgets, Shutdown
+from kingcupvane.request.pipeline import RequestPipeline, Shutdown
 from kingcupvane.request.placement import Locality
 from kingcupvane.request.quota import DistributedQuota
-from kingcupvane.request.retry import RetryBudget
+from kingcupvane.request.retry_budgets import (
+    FleetView,
+    RetryAllowance,
+    RetryBudgets,
+)
 from kingcupvane.request.selection import TargetSelector
 from kingcupvane.request.sending import TargetSender
 from kingcupvane.settings import GatewaySettings, RetrySettings
@@ -75,10 +80,6 @@
 # Largest share of the process's memory that incomplete responses of targets may
 # hold together; small responses are accepted beyond it.
 RESPONSE_MEMORY_SHARE = 0.125
-# Share of the fleet's retry budget that all gateways may spend together.
-RETRY_BUDGET_SHARE = 0.75
-# Number of gateways assumed while fewer are known.
-ASSUMED_GATEWAYS_MIN = 10
 TIMELINE_EVENTS_MAX = 2000
 
 
@@ -180,6 +181,7 @@
         self._evidence = EvidenceCounter()
         self._tracked_rollouts = TrackedRollouts()
         self._advertised_gateways: list[str] = [settings.name]
+        self._registered_names: set[str] = set()
         self._logged_retries: dict[tuple[str, str], int] = {}
 
     def _create_connections(self) -> None:
@@ -218,6 +220,7 @@
                 settings.store.lease_min_s,
                 LEASE_TTL_PER_CONTACT_TIMEOUT * settings.contact_s,
             ),
+            clock=self._clock,
         )
         self._crash_trials = CrashTrials(
             crashes=self._crashes,
@@ -300,8 +303,15 @@
             observe=partial(self._metrics.lateness_seconds.observe, {}),
             log_event=self._timeline.record,
         )
+        settings = self._settings
         self._retry_budgets = RetryBudgets(
-            create_budget=self._create_retry_budget
+            allowance=RetryAllowance(
+                share=settings.retry_share,
+                extra=settings.retry_extra,
+                window_s=settings.retry_window_s,
+            ),
+            now=self._clock.now(),
+            draw=random.random,
         )
         selector = TargetSelector(
             catalog=self._catalog,
@@ -336,27 +346,6 @@
             log_event=self._request_log.log_event,
         )
 
-    def _create_retry_budget(self) -> RetryBudget:
-        """Returns this gateway's share of the fleet's retry budget."""
-        settings = self._settings
-        gateway_count = max(
-            ASSUMED_GATEWAYS_MIN, len(self._advertised_gateways)
-        )
-        extra = settings.retry_extra / gateway_count
-        budget = RetryBudget(
-            settings=RetrySettings(
-                share=RETRY_BUDGET_SHARE * settings.retry_share,
-                burst=max(1, int(RETRY_BUDGET_SHARE * extra)),
-            )
-        )
-        self._timeline.record(
-            "retry-budget-created",
-            gateways=len(self._advertised_gateways),
-            live=len(self._peers.live_names(self._clock.now())),
-            retries=budget.remaining,
-        )
-        return budget
-
     async def run(self) -> None:
         """Runs until SIGTERM or SIGINT, then shuts down gracefully."""
         self._timeline.record("started", data_centre=self._settings.data_centre)
@@ -432,7 +421,9 @@
         # A gateway whose record was removed stays known until it has sent no
         # report for some time.
         if not update.value:
+            self._registered_names.discard(update.name)
             return
+        self._registered_names.add(update.name)
         try:
             record = msgspec.json.decode(update.value, type=GatewayRecord)
         except (msgspec.MsgspecError, RecursionError) as error:
@@ -466,6 +457,9 @@
             self._catalog.remove_expired_targets()
             self._catalog.end_deferrals()
             self._catalog.target_limits.update(now)
+            self._retry_budgets.update(
+                self._fleet_view(now), self._catalog.demand(), now
+            )
             self._quota.update_shares(
                 chain(
                     self._catalog.plan.accounts_by_name.values(),
@@ -480,17 +474,41 @@
                 last_slow_housekeeping_at = now
                 self._catalog.update_spillover(self._demand_by_region(now))
                 await self._pool.close_expired(self._catalog.views_by_name())
-                self._log_retries()
+                self._log_retries(now)
             await trio.sleep(HOUSEKEEPING_PERIOD_S)
 
-    def _log_retries(self) -> None:
+    def _fleet_view(self, now: float) -> FleetView:
+        """Returns what this gateway knows of the others."""
+        live = set(self._peers.live_names(now))
+        demand_by_service: dict[str, float] = {}
+        for _, demand in self._peers.demands(now):
+            for service, rate in demand.items():
+                total = demand_by_service.get(service, 0.0)
+                demand_by_service[service] = total + rate
+        return FleetView(
+            live_count=len(live),
+            known_count=len(live | self._registered_names),
+            is_registered=self._registration.is_listed(now),
+            demand_by_service=demand_by_service,
+        )
+
+    def _log_retries(self, now: float) -> None:
         """Logs the retries since the last call, by service and payment."""
         counts = self._retry_budgets.counts()
+        parts = self._retry_budgets.parts()
+        view = self._fleet_view(now)
         for (service, payment), count in counts.items():
             added = count - self._logged_retries.get((service, payment), 0)
             if added:
                 self._timeline.record(
-                    "retries", service=service, payment=payment, count=added
+                    "retries",
+                    service=service,
+                    payment=payment,
+                    count=added,
+                    part=round(parts.get(service, 0.0), 4),
+                    live=view.live_count,
+                    known=view.known_count,
+                    registered=view.is_registered,
                 )
         self._logged_retries = counts
 
@@ -533,7 +551,9 @@
         for service, rates in self._catalog.limited_rates().items():
             metrics.targets_limited.set({"service": service}, len(rates))
             metrics.limited_requests.set({"service": service}, sum(rates))
-        for service, remaining in self._retry_budgets.remaining().items():
+        for service, part in self._retry_budgets.parts().items():
+            metrics.retry_part.set({"service": service}, round(part, 4))
+        for service, remaining in self._retry_budgets.remaining(now).items():
             metrics.retry_budget.set({"service": service}, round(remaining, 1))
         for (service, payment), count in self._retry_budgets.counts().items():
             labels = {"service": service, "payment": payment}
@@ -551,11 +571,8 @@
                 sums[service] = sums.get(service, 0.0) + rate
 
         add(self._settings.region, self._catalog.demand())
-        for peer in self._peers.local_peers(now):
-            if peer.report is not None:
-                add(peer.record.region, peer.report.demand)
-        for received in self._peers.summaries(now):
-            add(received.summary.region, received.summary.demand)
+        for region, demand in self._peers.demands(now):
+            add(region, demand)
         return total
 
     def _is_store_watched(self, now: float) -> bool:
--- a/kingcupvane/process/metrics.py
+++ b/kingcupvane/process/metrics.py
@@ -149,6 +149,10 @@
             "kingcupvane_retry_budget_requests",
             "Further attempts that this gateway may make, by service.",
         )
+        self.retry_part = self._gauge(
+            "kingcupvane_retry_part",
+            "This gateway's part of the fleet's extra retries, by service.",
+        )
         self.retries = self._gauge(
             "kingcupvane_retries",
             "Retries since start by service, and how the budget treated them.",
--- a/kingcupvane/process/peering.py
+++ b/kingcupvane/process/peering.py
@@ -13,7 +13,7 @@
 A gateway is live while its reports, or summaries that list it, keep arriving.
 """
 
-from collections.abc import Container, Iterable, Iterator
+from collections.abc import Container, Iterable, Iterator, Mapping
 from dataclasses import dataclass
 
 from kingcupvane.connection.messages import (
@@ -282,8 +282,23 @@
 
     def live_names(self, now: float) -> list[str]:
         """Returns the sorted names of all live gateways, including this one."""
-        names = [gateway.record.name for gateway in self.live_gateways(now)]
-        return sorted([self.own.name, *names])
+        names = {self.own.name}
+        names.update(peer.record.name for peer in self.local_peers(now))
+        for received in self.summaries(now):
+            names.update(status.name for status in received.summary.members)
+        return sorted(names)
+
+    def demands(self, now: float) -> Iterator[tuple[str, Mapping[str, float]]]:
+        """Yields demands by service that other live gateways reported.
+
+        Each comes with its region; the gateways of another data centre come
+        together.
+        """
+        for peer in self.local_peers(now):
+            if peer.report is not None:
+                yield peer.record.region, peer.report.demand
+        for received in self.summaries(now):
+            yield received.summary.region, received.summary.demand
 
     def hub_candidates(self, now: float) -> list[str]:
         """Returns the names of the hub candidates of this data centre, by rank.
--- a/kingcupvane/process/replication.py
+++ b/kingcupvane/process/replication.py
@@ -222,6 +222,7 @@
         mirror: Mirror,
         record: GatewayRecord,
         ttl_s: float,
+        clock: Clock,
     ):
         """Creates the registration; `run` writes the record.
 
@@ -230,7 +231,10 @@
             mirror: Mirror that may hold a record of an earlier process.
             record: The record to write.
             ttl_s: TTL of the lease, in seconds.
+            clock: Monotonic clock.
         """
+        self._clock = clock
+        self._listed_until = float("-inf")
         self._store = store
         self._mirror = mirror
         self._record = record
@@ -240,17 +244,28 @@
     async def run(self) -> None:
         """Writes the record and renews its lease until cancelled."""
         while True:
+            asked_at = self._clock.now()
             if not self._lease:
                 self._lease = await self._register()
+                if self._lease:
+                    self._listed_until = asked_at + self._ttl_s
             else:
                 reply = await self._store.renew(self._lease)
-                if isinstance(reply, Ok) and not reply.ok_value:
+                if isinstance(reply, Ok) and reply.ok_value:
+                    self._listed_until = asked_at + self._ttl_s
+                elif isinstance(reply, Ok):
                     self._lease = 0
+                    self._listed_until = float("-inf")
                     continue
             await trio.sleep(self._ttl_s / RENEWALS_PER_LEASE)
 
+    def is_listed(self, now: float) -> bool:
+        """Returns whether the store is sure to list this gateway."""
+        return now < self._listed_until
+
     async def withdraw(self) -> None:
         """Removes the record by revoking its lease."""
+        self._listed_until = float("-inf")
         lease, self._lease = self._lease, 0
         if lease:
             await self._store.revoke(lease)
--- a/kingcupvane/request/pipeline.py
+++ b/kingcupvane/request/pipeline.py
@@ -6,7 +6,6 @@
 where that is certain.
 """
 
-from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -31,7 +30,8 @@
 from kingcupvane.request.placement import AttemptOutcome
 from kingcupvane.request.quota import DistributedQuota
 from kingcupvane.request.resolution import RequestResolver
-from kingcupvane.request.retry import RetryBudget, compute_fingerprint
+from kingcupvane.request.retry import compute_fingerprint
+from kingcupvane.request.retry_budgets import RetryBudgets
 from kingcupvane.request.selection import DestinationPicker, TargetSelector
 from kingcupvane.request.sending import (
     REMAINING_TIME_MIN_S,
@@ -65,50 +65,6 @@
 )
 
 
-class RetryBudgets:
-    """Retry budgets of this gateway, one for each service."""
-
-    def __init__(self, *, create_budget: Callable[[], RetryBudget]):
-        """Starts without budgets.
-
-        Args:
-            create_budget: Returns a new budget; called at the first use of a
-                service.
-        """
-        self._create_budget = create_budget
-        self._budget_by_service: dict[str, RetryBudget] = {}
-        self._counts: Counter[tuple[str, str]] = Counter()
-
-    def count(self, service: str, payment: str) -> None:
-        """Counts a retry of a request.
-
-        Args:
-            service: The service.
-            payment: `paid` or `denied` by the budget; for a free retry, the
-                outcome of the attempt before it.
-        """
-        self._counts[service, payment] += 1
-
-    def counts(self) -> dict[tuple[str, str], int]:
-        """Returns the retries since the start, by service and payment."""
-        return dict(self._counts)
-
-    def remaining(self) -> dict[str, float]:
-        """Returns the number of retries that remain, by service."""
-        return {
-            service: budget.remaining
-            for service, budget in self._budget_by_service.items()
-        }
-
-    def for_service(self, service: str) -> RetryBudget:
-        """Returns the budget of a service; creates it at first use."""
-        budget = self._budget_by_service.get(service)
-        if budget is None:
-            budget = self._create_budget()
-            self._budget_by_service[service] = budget
-        return budget
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Shutdown:
     """The times of a graceful stop, in monotonic seconds.
@@ -281,7 +237,7 @@
                 )
             )
         gateway_request.service = self._picker.pick(gateway_request.route)
-        self._retry_budgets.for_service(gateway_request.service).deposit()
+        self._retry_budgets.count_request(gateway_request.service, now)
         self._catalog.count_request(gateway_request.service)
         return Ok(None)
 
@@ -423,13 +379,10 @@
         A retry counts only if the target before it received the request.
         """
         service = gateway_request.service
-        budgets = self._retry_budgets
         if last.outcome in UNSENT_OUTCOMES:
-            budgets.count(service, last.outcome.value)
+            self._retry_budgets.count(service, last.outcome.value)
             return True
-        granted = budgets.for_service(service).try_withdraw()
-        budgets.count(service, "paid" if granted else "denied")
-        return granted
+        return self._retry_budgets.try_withdraw(service, self._clock.now())
 
     def _final_result(
         self, gateway_request: GatewayRequest, last: Attempt
--- a/kingcupvane/request/token_bucket.py
+++ b/kingcupvane/request/token_bucket.py
@@ -51,6 +51,22 @@
         self._tokens -= 1.0
         return True
 
+    def add(self, tokens: float, now: float) -> None:
+        """Adds tokens; those above the burst are lost."""
+        self._refill(now)
+        self._tokens = min(self.burst, self._tokens + tokens)
+
+    def take_all(self, now: float) -> float:
+        """Takes all tokens; returns their number."""
+        tokens = self.tokens(now)
+        self._tokens = 0.0
+        return tokens
+
+    def tokens(self, now: float) -> float:
+        """Returns the tokens held now."""
+        self._refill(now)
+        return self._tokens
+
     def wait_s(self, now: float) -> float:
         """Returns the time until a token is available, in seconds.
 
--- a/kingcupvane/tests/retry_fleet.py
+++ b/kingcupvane/tests/retry_fleet.py
@@ -9,9 +9,13 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from types import SimpleNamespace
 
-from kingcupvane.process.gateway import GatewayDaemon
+from kingcupvane.request.rate_limit import DemandEstimator
+from kingcupvane.request.retry_budgets import (
+    FleetView,
+    RetryAllowance,
+    RetryBudgets,
+)
 
 STEP_S = 0.1
 # Steps from one update of the views to the next.
@@ -21,6 +25,8 @@
 SHARE = 0.2
 # Time from a report to its use at the other gateways, in seconds.
 REPORT_DELAY_S = 0.8
+REPORT_UPDATES = 1 + round(REPORT_DELAY_S / (STEP_S * STEPS_PER_UPDATE))
+DEMAND_TIME_CONSTANT_S = 3.0
 # Lifetime of a gateway's record in the store after its last renewal, in
 # seconds.
 REGISTRATION_TTL_S = 8.0
@@ -37,38 +43,70 @@
         started_at: When the process started, in seconds.
         registered: Gateways that the store lists, as last read.
         heard: Gateways that it heard of at each of the last updates.
+        registered_at: When it last renewed its record, in seconds.
+        reported_demand: Its demand as other gateways know it.
+        has_plan: Whether it has read the store or copied from a gateway that
+            has; it serves no caller before.
     """
 
     def __init__(self, *, name: str, extra: float, now: float, seed: int):
         """Starts without knowing any other gateway."""
         self.name = name
         self.started_at = now
+        self.has_plan = False
         self.registered: frozenset[str] = frozenset()
         self.heard: deque[frozenset[str]] = deque(maxlen=HEARD_UPDATES)
-        self._daemon = SimpleNamespace(
-            _settings=SimpleNamespace(retry_share=SHARE, retry_extra=extra),
-            _advertised_gateways=[name],
-            _timeline=SimpleNamespace(record=lambda *_, **__: None),
-            _peers=SimpleNamespace(live_names=lambda _: [name]),
-            _clock=SimpleNamespace(now=lambda: 0.0),
+        self.registered_at = float("-inf")
+        self.reported_demand = 0.0
+        self._demand = DemandEstimator(
+            now=now, time_constant_s=DEMAND_TIME_CONSTANT_S
         )
-        self._budget = None
+        self._demands: deque[float] = deque(maxlen=REPORT_UPDATES)
+        self._budgets = RetryBudgets(
+            allowance=RetryAllowance(
+                share=SHARE, extra=extra, window_s=WINDOW_S
+            ),
+            now=now,
+            draw=random.Random(seed).random,
+        )
+
+    def report(self, now: float) -> None:
+        """Sets the demand that other gateways hear of from now on."""
+        self._demands.append(self._demand.rate(now))
+        self.reported_demand = self._demands[0]
 
     def update(
-        self, *, live: frozenset[str], registered: frozenset[str], now: float
+        self,
+        *,
+        live: frozenset[str],
+        registered: frozenset[str],
+        demand: float,
+        now: float,
     ) -> None:
-        """Applies what this gateway knows of the fleet."""
-        self._daemon._advertised_gateways = list(live)
+        """Applies what this gateway knows of the fleet.
+
+        Args:
+            live: Gateways that it hears of, itself included.
+            registered: Gateways that the store lists, as last read.
+            demand: Demand of the others that it hears of.
+            now: Seconds.
+        """
+        view = FleetView(
+            live_count=len(live),
+            known_count=len(live | registered),
+            is_registered=now - self.registered_at < REGISTRATION_TTL_S,
+            demand_by_service={SERVICE: demand},
+        )
+        self._budgets.update(view, {SERVICE: self._demand.rate(now)}, now)
 
     def count_request(self, now: float) -> None:
         """Counts a caller's request."""
-        if self._budget is None:
-            self._budget = GatewayDaemon._create_retry_budget(self._daemon)
-        self._budget.deposit()
+        self._demand.add(now)
+        self._budgets.count_request(SERVICE, now)
 
     def try_retry(self, now: float) -> bool:
         """Returns whether the budget allows a retry."""
-        return self._budget.try_withdraw()
+        return self._budgets.try_withdraw(SERVICE, now)
 
 
 @dataclass(kw_only=True)
@@ -162,6 +200,7 @@
             started = self.now - process.started_at >= REPORT_DELAY_S
             if started and self.reaches_store(name):
                 self._registered_at[name] = self.now
+                process.registered_at = self.now
 
     def _update_views(self) -> None:
         """Tells each gateway which others it has heard of lately."""
@@ -175,18 +214,46 @@
             for name, process in self.processes_by_name.items()
             if self.now - process.started_at >= REPORT_DELAY_S
         )
+        for process in self.processes_by_name.values():
+            process.report(self.now)
+        demand_by_name = {
+            name: process.reported_demand
+            for name, process in self.processes_by_name.items()
+        }
+        demand_of: dict[frozenset[str], float] = {}
         for name, process in self.processes_by_name.items():
             heard = process.heard
             if name in reporting:
                 heard.append(reporting & self._senders(name))
             if self.reaches_store(name):
                 process.registered = registered
+                process.has_plan = True
+            live = frozenset().union(*set(heard), {name})
+            if live not in demand_of:
+                demand_of[live] = sum(
+                    demand_by_name.get(peer, 0.0) for peer in live
+                )
+            self._copy_from_peers(process, live)
             process.update(
-                live=frozenset().union(*set(heard), {name}),
+                live=live,
                 registered=process.registered,
+                demand=demand_of[live] - demand_by_name[name],
                 now=self.now,
             )
 
+    def _copy_from_peers(
+        self, process: GatewayProcess, live: frozenset[str]
+    ) -> None:
+        """Copies the plan and the registrations from a live gateway."""
+        if process.has_plan:
+            return
+        for name in live:
+            peer = self.processes_by_name.get(name)
+            if peer is not None and peer.has_plan:
+                process.registered = peer.registered
+                process.has_plan = True
+                return
+
     def _senders(self, receiver: str) -> frozenset[str]:
         """Returns the gateways whose reports reach one now."""
         if self.sees is not self._senders_of:
@@ -205,6 +272,8 @@
     def _serve(self) -> None:
         step = Step()
         for name, process in self.processes_by_name.items():
+            if not process.has_plan:
+                continue
             rate = self.rate_by_name.get(name, self.rate)
             for _ in range(self._count(rate * STEP_S)):
                 step.requests += 1
--- a/kingcupvane/tests/test_pipeline.py
+++ b/kingcupvane/tests/test_pipeline.py
@@ -30,12 +30,11 @@
 from kingcupvane.request.gateway_request import WireNames
 from kingcupvane.request.pipeline import (
     RequestPipeline,
-    RetryBudgets,
     Shutdown,
 )
 from kingcupvane.request.placement import Locality
 from kingcupvane.request.quota import DistributedQuota
-from kingcupvane.request.retry import RetryBudget
+from kingcupvane.request.retry_budgets import RetryAllowance, RetryBudgets
 from kingcupvane.request.selection import TargetSelector
 from kingcupvane.request.sending import TargetSender
 from kingcupvane.settings import RetrySettings
@@ -210,9 +209,9 @@
             report_unanswered=self.unanswered_exchanges.append,
         )
         self.retry_budgets = RetryBudgets(
-            create_budget=lambda: RetryBudget(
-                settings=RetrySettings(share=0.2, burst=10)
-            )
+            allowance=RetryAllowance(share=20.0, extra=0.0, window_s=10.0),
+            now=clock.now(),
+            draw=lambda: 0.0,
         )
         self.pipeline = RequestPipeline(
             catalog=self.catalog,
--- a/kingcupvane/tests/test_retry_fleet.py
+++ b/kingcupvane/tests/test_retry_fleet.py
@@ -31,6 +31,18 @@
     )
 
 
+def begin(fleet: SimulatedFleet, *, calm: bool) -> None:
+    """Lets all gateways run for a while; if calm, no request fails until now.
+
+    Retries are saved up in a calm time.
+    """
+    fleet.start(fleet.names)
+    if calm:
+        fleet.failing = lambda name: 0.0
+    fleet.run(15)
+    fleet.failing = lambda name: 1.0
+
+
 def waves(names: list[str], size: int) -> Iterable[list[str]]:
     for first in range(0, len(names), size):
         yield names[first : first + size]
@@ -58,12 +70,13 @@
     assert fleet.worst_excess() <= 0
 
 
+@pytest.mark.parametrize("calm", [True, False])
 @pytest.mark.parametrize("times", [1, 4])
 @pytest.mark.parametrize("count", COUNTS)
-def test_gateways_killed_at_once_keep_to_the_allowance(count, times):
+def test_gateways_killed_at_once_keep_to_the_allowance(count, times, calm):
     fleet = fleet_of(count, rate=4.0)
-    fleet.start(fleet.names)
-    fleet.run(15)
+    begin(fleet, calm=calm)
+    fleet.run(1)
     for _ in range(times):
         fleet.restart(fleet.names)
         fleet.run(3)
@@ -71,12 +84,13 @@
     assert fleet.worst_excess() <= 0
 
 
+@pytest.mark.parametrize("calm", [True, False])
 @pytest.mark.parametrize("share", [0.1, 0.34])
 @pytest.mark.parametrize("count", COUNTS)
-def test_restarts_in_waves_keep_to_the_allowance(count, share):
+def test_restarts_in_waves_keep_to_the_allowance(count, share, calm):
     fleet = fleet_of(count, rate=4.0)
-    fleet.start(fleet.names)
-    fleet.run(15)
+    begin(fleet, calm=calm)
+    fleet.run(1)
     for names in waves(fleet.names, max(1, round(share * count))):
         fleet.stop(names)
         fleet.run(0.6)
@@ -86,11 +100,14 @@
     assert fleet.worst_excess() <= 0
 
 
+@pytest.mark.parametrize("calm", [True, False])
 @pytest.mark.parametrize("count", COUNTS)
-def test_power_loss_beyond_the_registrations_keeps_to_the_allowance(count):
+def test_power_loss_beyond_the_registrations_keeps_to_the_allowance(
+    count, calm
+):
     fleet = fleet_of(count, rate=4.0)
-    fleet.start(fleet.names)
-    fleet.run(15)
+    begin(fleet, calm=calm)
+    fleet.run(1)
     fleet.stop(fleet.names)
     fleet.run(REGISTRATION_TTL_S + 2)
     fleet.start(fleet.names)
@@ -98,14 +115,17 @@
     assert fleet.worst_excess() <= 0
 
 
+@pytest.mark.parametrize("calm", [True, False])
 @pytest.mark.parametrize("with_store", [True, False])
 @pytest.mark.parametrize("cut_share", [0.35, 0.5])
 @pytest.mark.parametrize("count", COUNTS)
-def test_two_sides_of_a_cut_keep_to_the_allowance(count, cut_share, with_store):
+def test_two_sides_of_a_cut_keep_to_the_allowance(
+    count, cut_share, with_store, calm
+):
     """One side keeps the store, or neither, for longer than a registration."""
     fleet = fleet_of(count, rate=4.0)
-    fleet.start(fleet.names)
-    fleet.run(15)
+    begin(fleet, calm=calm)
+    fleet.run(1)
     cut = set(fleet.names[: max(1, round(cut_share * count))])
     fleet.sees = lambda sender, receiver: (sender in cut) == (receiver in cut)
     fleet.reaches_store = lambda name: with_store and name not in cut
@@ -113,11 +133,12 @@
     assert fleet.worst_excess() <= 0
 
 
+@pytest.mark.parametrize("calm", [True, False])
 @pytest.mark.parametrize("count", COUNTS)
-def test_gateways_cut_off_one_by_one_keep_to_the_allowance(count):
+def test_gateways_cut_off_one_by_one_keep_to_the_allowance(count, calm):
     fleet = fleet_of(count, rate=4.0)
-    fleet.start(fleet.names)
-    fleet.run(15)
+    begin(fleet, calm=calm)
+    fleet.run(1)
     cut = set(fleet.names[: max(1, round(0.35 * count))])
     fleet.sees = lambda sender, receiver: not {sender, receiver} & cut
     fleet.reaches_store = lambda name: name not in cut
