Retries: one after a 421 is paid for, since the first attempt reached a target

Cause: a 421 was the same outcome as a connection that was never opened. Class: one name for two outcomes that differ in what they cost. Change: only attempts that no target has seen are free. The new test was answered 200 before, with an empty budget.

--- a/kingcupvane/request/pipeline.py
+++ b/kingcupvane/request/pipeline.py
@@ -50,12 +50,8 @@
 TRIAL_WAIT_SHARE = 0.5
 # Smallest Retry-After of a request that crashes targets, in seconds.
 TRIAL_RETRY_AFTER_MIN_S = 0.3
-# Outcomes of attempts that the service's targets have not seen.
-UNSENT_OUTCOMES = (
-    AttemptOutcome.UNREACHABLE,
-    AttemptOutcome.MISDIRECTED,
-    AttemptOutcome.WITHHELD,
-)
+# Outcomes of attempts that no target has seen.
+UNSENT_OUTCOMES = (AttemptOutcome.UNREACHABLE, AttemptOutcome.WITHHELD)
 # Callers may take these statuses as a promise that the request did not run.
 NOT_EXECUTED_STATUSES = (
     HTTPStatus.REQUEST_TIMEOUT,
--- a/kingcupvane/tests/test_pipeline.py
+++ b/kingcupvane/tests/test_pipeline.py
@@ -169,7 +169,16 @@
 class Gateway:
     """A request pipeline with three targets and, by default, one route."""
 
-    def __init__(self, clock, timeline, pool, *, routes=None, accounts=()):
+    def __init__(
+        self,
+        clock,
+        timeline,
+        pool,
+        *,
+        routes=None,
+        accounts=(),
+        retry_share=20.0,
+    ):
         """Creates the pipeline, registers the targets and applies a plan."""
         self.clock = clock
         self.pool = pool
@@ -209,7 +218,9 @@
             report_unanswered=self.unanswered_exchanges.append,
         )
         self.retry_budgets = RetryBudgets(
-            allowance=RetryAllowance(share=20.0, extra=0.0, window_s=10.0),
+            allowance=RetryAllowance(
+                share=retry_share, extra=0.0, window_s=10.0
+            ),
             now=clock.now(),
             draw=lambda: 0.0,
         )
@@ -888,5 +899,20 @@
     ((_, _, fields),) = gateway.logged_events
     endings = [word.split(":")[1] for word in fields["attempts"].split(",")]
     assert endings == ["misdirected", "shed", "answered"]
-    counts = gateway.retry_budgets.counts()
-    assert counts == {("reads", "misdirected"): 1, ("reads", "paid"): 1}
+    assert gateway.retry_budgets.counts() == {("reads", "paid"): 2}
+
+
+def test_retry_after_a_misdirected_attempt_needs_the_budget(make_gateway):
+    """The first attempt has reached a target, though not the right one."""
+    gateway = make_gateway(MISDIRECTED_RESPONSE, response(), retry_share=0.0)
+    status, headers, _ = gateway.send_request()
+    assert status == 503
+    assert b"retry-after" in headers
+    assert len(gateway.pool.sent) == 1
+
+
+def test_retry_after_an_unreachable_target_is_free(make_gateway):
+    gateway = make_gateway(response(), retry_share=0.0)
+    gateway.pool.unreachable = {"t0", "t1"}
+    assert gateway.send_request()[0] == 200
+    assert set(gateway.retry_budgets.counts()) <= {("reads", "unreachable")}
