Limits: a gateway takes no larger share than it hears of the fleet

What callers would see: after a restart of all 195 gateways an account gets more than its limit.

Cause: a gateway that hears of nobody takes a tenth of each limit, as if there were ten. Change: its share is at most the part of the known gateways (live or registered) that it hears of; limits of targets are divided by the same code. Result: the test holds; it failed with the cap taken out.

--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -457,15 +457,15 @@
             self._catalog.remove_expired_targets()
             self._catalog.end_deferrals()
             self._catalog.target_limits.update(now)
-            self._retry_budgets.update(
-                self._fleet_view(now), self._catalog.demand(), now
-            )
+            view = self._fleet_view(now)
+            self._retry_budgets.update(view, self._catalog.demand(), now)
             self._quota.update_shares(
                 chain(
                     self._catalog.plan.accounts_by_name.values(),
                     self._catalog.target_limits.limits(),
                 ),
                 now,
+                heard_share=view.heard_share,
             )
             self._caller_server_state.keep_alive_s = (
                 self._catalog.plan.limits.idle_timeout_s
--- a/kingcupvane/request/quota.py
+++ b/kingcupvane/request/quota.py
@@ -156,6 +156,7 @@
         self._peers_by_name: dict[str, Peer] = {}
         self._peer_demand_by_account: dict[str, float] = {}
         self._gateway_count = 1
+        self._heard_share = 1.0
         self.announced_rates: Mapping[str, float] = {}
 
     def update_peer(
@@ -450,13 +451,22 @@
             f" peers {len(account.estimates_by_peer)}"
         )
 
-    def update_shares(self, plans: Iterable[RateLimit], now: float) -> None:
+    def update_shares(
+        self,
+        plans: Iterable[RateLimit],
+        now: float,
+        *,
+        heard_share: float = 1.0,
+    ) -> None:
         """Recomputes this gateway's share of each limit; drops stale peers.
 
         Args:
             plans: All limits; others are removed.
             now: Monotonic seconds.
+            heard_share: Share of the known gateways that this one hears of, 0
+                to 1. It takes no larger share of a limit.
         """
+        self._heard_share = heard_share
         for name, peer in list(self._peers_by_name.items()):
             if now - peer.received_at > PEER_EXPIRY_S:
                 self.remove_peer(name)
@@ -612,7 +622,7 @@
         account.peer_demand = reported_demand - own
         if now < self._startup_ends_at:
             share = min(STARTUP_SHARE_MAX, share)
-        account.share = share
+        account.share = min(self._heard_share, share)
         return silent_share
 
 
--- a/kingcupvane/request/retry_budgets.py
+++ b/kingcupvane/request/retry_budgets.py
@@ -73,14 +73,17 @@
     is_registered: bool
     demand_by_service: Mapping[str, float]
 
+    @property
+    def heard_share(self) -> float:
+        """Share of the known gateways that this one hears of, 0 to 1."""
+        return min(1.0, self.live_count / self.known_count)
+
     @property
     def covered_share(self) -> float:
         """Share of the extra retries that the live gateways may divide."""
-        if self.live_count >= self.known_count:
-            return 1.0
-        if not self.is_registered:
+        if self.heard_share < 1.0 and not self.is_registered:
             return 0.0
-        return self.live_count / self.known_count
+        return self.heard_share
 
 
 @dataclass(kw_only=True, slots=True)
--- a/kingcupvane/tests/test_quota.py
+++ b/kingcupvane/tests/test_quota.py
@@ -48,6 +48,7 @@
         self.now = 0.0
         self.is_connected = lambda sender, receiver: True
         self.incarnations = [1] * count
+        self.known_counts = [1] * count
         self.gateways = [
             DistributedQuota(
                 now=0.0,
@@ -60,7 +61,9 @@
         self.admitted = []
         self.refused = 0
 
-    def restart(self, index):
+    def restart(self, index, known_count=1):
+        """Starts a gateway anew, with so many gateways listed in the store."""
+        self.known_counts[index] = known_count
         self.incarnations[index] += 1
         self.gateways[index] = DistributedQuota(now=self.now, name=f"g{index}")
 
@@ -75,8 +78,17 @@
                         incarnation=self.incarnations[i],
                         now=self.now,
                     )
-        for gateway in self.gateways:
-            gateway.update_shares([self.plan], self.now)
+        for index, gateway in enumerate(self.gateways):
+            heard = 1 + sum(
+                self.is_connected(sender, index)
+                for sender in range(len(self.gateways))
+                if sender != index
+            )
+            gateway.update_shares(
+                [self.plan],
+                self.now,
+                heard_share=min(1.0, heard / self.known_counts[index]),
+            )
 
     def send_requests(self, *, seed, demand, seconds, pick_gateway=None):
         """Sends requests; `pick_gateway` returns the gateway index of each."""
@@ -363,3 +375,15 @@
     report(1, 500, 0.2)
     report(2, 2, 0.3)
     assert quota.tokens_by_account()["a"] >= 18.0
+
+
+def test_gateways_killed_at_once_keep_to_the_limit_before_they_hear_of_others():
+    """195 gateways hear of each other only 1 s after all have started anew."""
+    fleet = Fleet(count=195, plan=account(20))
+    fleet.send_requests(seed=0, demand=15, seconds=5)
+    for index in range(195):
+        fleet.restart(index, known_count=195)
+    silent_until = fleet.now + 1.0
+    fleet.is_connected = lambda sender, receiver: fleet.now >= silent_until
+    fleet.send_requests(seed=9, demand=160, seconds=3)
+    assert fleet.most_admitted_in_window() <= fleet.window_bound()
