Slow start: a gateway counts those that the store lists though it does not hear of them

What servers would see: after a restart of all gateways a cold server gets a request from each.

Cause: four gateways share a cold target's rate, chosen from those that a gateway sees; one that sees nobody chooses itself. Change: gateways that are registered but not live are taken for ready in that choice, until their registration ends. Result: test_slow_start.py holds; it failed without them. Ruled out: waiting after a start, which does not help those that are cut off.

--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -181,7 +181,7 @@
         self._evidence = EvidenceCounter()
         self._tracked_rollouts = TrackedRollouts()
         self._advertised_gateways: list[str] = [settings.name]
-        self._registered_names: set[str] = set()
+        self._registered_by_name: dict[str, GatewayRecord] = {}
         self._logged_retries: dict[tuple[str, str], int] = {}
 
     def _create_connections(self) -> None:
@@ -421,9 +421,8 @@
         # A gateway whose record was removed stays known until it has sent no
         # report for some time.
         if not update.value:
-            self._registered_names.discard(update.name)
+            self._registered_by_name.pop(update.name, None)
             return
-        self._registered_names.add(update.name)
         try:
             record = msgspec.json.decode(update.value, type=GatewayRecord)
         except (msgspec.MsgspecError, RecursionError) as error:
@@ -431,6 +430,7 @@
                 "gateway-record-unreadable", name=update.name, why=str(error)
             )
             return
+        self._registered_by_name[update.name] = record
         self._peers.add_listed(record, now)
 
     async def _serve_peers(self) -> None:
@@ -447,7 +447,10 @@
         while True:
             now = self._clock.now()
             self._advertised_gateways = advertised_names(
-                self._peers, own_ready=self._is_ready(), now=now
+                self._peers,
+                own_ready=self._is_ready(),
+                registered=self._registered_by_name.values(),
+                now=now,
             )
             for name in self._peers.remove_expired(now):
                 self._reporter.remove_gateway(name)
@@ -487,7 +490,7 @@
                 demand_by_service[service] = total + rate
         return FleetView(
             live_count=len(live),
-            known_count=len(live | self._registered_names),
+            known_count=len(live.union(self._registered_by_name)),
             is_registered=self._registration.is_listed(now),
             demand_by_service=demand_by_service,
         )
--- a/kingcupvane/process/peering.py
+++ b/kingcupvane/process/peering.py
@@ -15,6 +15,7 @@
 
 from collections.abc import Container, Iterable, Iterator, Mapping
 from dataclasses import dataclass
+from itertools import chain
 
 from kingcupvane.connection.messages import (
     DataCentreSummary,
@@ -470,17 +471,28 @@
 
 
 def advertised_names(
-    table: PeerTable, *, own_ready: bool, now: float
+    table: PeerTable,
+    *,
+    own_ready: bool,
+    registered: Iterable[GatewayRecord] = (),
+    now: float,
 ) -> list[str]:
     """Returns the sorted names of the advertised gateways of all data centres.
 
+    Gateways that are registered in the store but not live here are taken for
+    ready: they may serve callers unheard.
+
     Args:
         table: The known gateways.
         own_ready: Whether this gateway itself accepts callers.
+        registered: Records of all gateways that the store lists.
         now: Monotonic seconds.
     """
+    live = set(table.live_names(now))
+    ready = _ready_records(table, own_ready=own_ready, now=now)
+    unheard = (record for record in registered if record.name not in live)
     records_by_data_centre: dict[str, list[GatewayRecord]] = {}
-    for record in _ready_records(table, own_ready=own_ready, now=now):
+    for record in chain(ready, unheard):
         records_by_data_centre.setdefault(record.data_centre, []).append(record)
     return sorted(
         record.name
