--- a/kingcupvane/tests/test_peering.py
+++ b/kingcupvane/tests/test_peering.py
@@ -1,5 +1,7 @@
 """Tests of discovery, liveness and hubs of gateways."""
 
+import msgspec
+
 from kingcupvane.connection.messages import (
     DataCentreSummary,
     GatewayRecord,
@@ -270,3 +272,21 @@
     replacement = watchers(other, lost=chosen)
     assert len(replacement) == 1
     assert replacement != chosen
+
+
+def test_demands_are_those_of_live_peers_and_other_data_centres():
+    table = PeerTable(own=record("a"))
+    peer = report(record("b"))
+    table.receive_report(
+        msgspec.structs.replace(peer, demand={"reads": 2.0}), 0.0
+    )
+    remote = msgspec.structs.replace(
+        summary("south-a", "r1", "r2"), demand={"reads": 5.0}
+    )
+    receive_remote_summary(table, remote, 0.0)
+    assert list(table.demands(0.1)) == [
+        ("north", {"reads": 2.0}),
+        ("south", {"reads": 5.0}),
+    ]
+    assert table.live_names(0.1) == ["a", "b", "r1", "r2"]
+    assert not list(table.demands(0.1 + SUMMARY_TIMEOUT_S))
