--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -29,6 +29,7 @@
 from kingcupvane.process.evidence import EvidenceCounter
 from kingcupvane.process.evidence_collection import EvidenceCollector
 from kingcupvane.process.item import Item
+from kingcupvane.process.known_fleet import KnownFleet
 from kingcupvane.process.lateness import LatenessMeter
 from kingcupvane.process.logs import LogBuffer, RequestLog
 from kingcupvane.process.metrics import GatewayMetrics
@@ -50,11 +51,7 @@
 from kingcupvane.request.pipeline import RequestPipeline, Shutdown
 from kingcupvane.request.placement import Locality
 from kingcupvane.request.quota import DistributedQuota
-from kingcupvane.request.retry_budgets import (
-    FleetView,
-    RetryAllowance,
-    RetryBudgets,
-)
+from kingcupvane.request.retry_budgets import RetryAllowance, RetryBudgets
 from kingcupvane.request.selection import TargetSelector
 from kingcupvane.request.sending import TargetSender
 from kingcupvane.settings import GatewaySettings, RetrySettings
@@ -181,7 +178,6 @@
         self._evidence = EvidenceCounter()
         self._tracked_rollouts = TrackedRollouts()
         self._advertised_gateways: list[str] = [settings.name]
-        self._registered_by_name: dict[str, GatewayRecord] = {}
         self._logged_retries: dict[tuple[str, str], int] = {}
 
     def _create_connections(self) -> None:
@@ -222,6 +218,9 @@
             ),
             clock=self._clock,
         )
+        self._known_fleet = KnownFleet(
+            peers=self._peers, is_listed=self._registration.is_listed
+        )
         self._crash_trials = CrashTrials(
             crashes=self._crashes,
             peers=self._peers,
@@ -421,7 +420,7 @@
         # A gateway whose record was removed stays known until it has sent no
         # report for some time.
         if not update.value:
-            self._registered_by_name.pop(update.name, None)
+            self._known_fleet.remove_registered(update.name)
             return
         try:
             record = msgspec.json.decode(update.value, type=GatewayRecord)
@@ -430,7 +429,7 @@
                 "gateway-record-unreadable", name=update.name, why=str(error)
             )
             return
-        self._registered_by_name[update.name] = record
+        self._known_fleet.add_registered(update.name, record)
         self._peers.add_listed(record, now)
 
     async def _serve_peers(self) -> None:
@@ -449,7 +448,7 @@
             self._advertised_gateways = advertised_names(
                 self._peers,
                 own_ready=self._is_ready(),
-                registered=self._registered_by_name.values(),
+                registered=self._known_fleet.registered(),
                 now=now,
             )
             for name in self._peers.remove_expired(now):
@@ -460,7 +459,7 @@
             self._catalog.remove_expired_targets()
             self._catalog.end_deferrals()
             self._catalog.target_limits.update(now)
-            view = self._fleet_view(now)
+            view = self._known_fleet.view(now)
             self._retry_budgets.update(view, self._catalog.demand(), now)
             self._quota.update_shares(
                 chain(
@@ -480,26 +479,11 @@
                 self._log_retries(now)
             await trio.sleep(HOUSEKEEPING_PERIOD_S)
 
-    def _fleet_view(self, now: float) -> FleetView:
-        """Returns what this gateway knows of the others."""
-        live = set(self._peers.live_names(now))
-        demand_by_service: dict[str, float] = {}
-        for _, demand in self._peers.demands(now):
-            for service, rate in demand.items():
-                total = demand_by_service.get(service, 0.0)
-                demand_by_service[service] = total + rate
-        return FleetView(
-            live_count=len(live),
-            known_count=len(live.union(self._registered_by_name)),
-            is_registered=self._registration.is_listed(now),
-            demand_by_service=demand_by_service,
-        )
-
     def _log_retries(self, now: float) -> None:
         """Logs the retries since the last call, by service and payment."""
         counts = self._retry_budgets.counts()
         parts = self._retry_budgets.parts()
-        view = self._fleet_view(now)
+        view = self._known_fleet.view(now)
         for (service, payment), count in counts.items():
             added = count - self._logged_retries.get((service, payment), 0)
             if added:
