--- a/kingcupvane/request/retry_budgets.py
+++ b/kingcupvane/request/retry_budgets.py
@@ -80,7 +80,10 @@
 
     @property
     def covered_share(self) -> float:
-        """Share of the extra retries that the live gateways may divide."""
+        """Share of the extra retries that the live gateways may divide.
+
+        It is 0 if others may divide them without counting this gateway.
+        """
         if self.heard_share < 1.0 and not self.is_registered:
             return 0.0
         return self.heard_share
