--- a/kingcupvane/tests/test_retry_fleet.py
+++ b/kingcupvane/tests/test_retry_fleet.py
@@ -13,6 +13,7 @@
     SHARE,
     WINDOW_S,
     SimulatedFleet,
+    everyone,
 )
 
 COUNTS = (2, 3, 10, 27, 60, 195, 300)
@@ -184,6 +185,41 @@
     assert fleet.worst_excess() <= 0
 
 
+def play_random_fault(fleet: SimulatedFleet, rng: random.Random) -> None:
+    """Kills, cuts off or reconnects some gateways, then lets time pass."""
+    share = rng.choice([0.1, 0.35, 0.6, 1.0])
+    some = rng.sample(fleet.names, max(1, round(share * len(fleet.names))))
+    match rng.choice(["kill", "pause", "cut", "reconnect", "store", "none"]):
+        case "kill":
+            fleet.restart(some)
+        case "pause":
+            fleet.stop(some)
+            fleet.run(0.5)
+            fleet.start(some)
+        case "cut":
+            cut = frozenset(some)
+            fleet.sees = lambda a, b: (a in cut) == (b in cut)
+            fleet.reaches_store = lambda name: name not in cut
+        case "reconnect":
+            fleet.sees = everyone
+            fleet.reaches_store = lambda name: True
+        case "store":
+            fleet.reaches_store = lambda name: False
+    fleet.run(rng.choice([0.5, 2.0, 4.0, 9.0]))
+
+
+@pytest.mark.parametrize("seed", range(6))
+@pytest.mark.parametrize("count", [3, 12, 60, 195])
+def test_faults_in_series_keep_to_the_allowance(count, seed):
+    fleet = fleet_of(count, rate=4.0, seed=seed)
+    rng = random.Random(seed)
+    begin(fleet, calm=seed % 2 == 0)
+    for _ in range(8):
+        play_random_fault(fleet, rng)
+    fleet.run(5)
+    assert fleet.worst_excess() <= 0
+
+
 def used_share(fleet: SimulatedFleet) -> float:
     """Returns the used part of what the last window allows."""
     totals = fleet.totals(WINDOW_S)
