Retries: chance only where a whole retry can never be saved up

A budget that can hold a whole retry waits for it now. 0.34 + 0.56 of the extra number is saved up and comes back (0.38 + 0.5), so that two gateways whose requests fail for long use what they may.

--- a/kingcupvane/request/retry_budgets.py
+++ b/kingcupvane/request/retry_budgets.py
@@ -14,9 +14,9 @@
 - One that may have lost its registration without hearing of all others has no
   part, since those with the store no longer count it.
 
-A new process has nothing saved up, since its predecessor may have spent it. A
-part below one retry is spent by chance, so that hundreds of gateways with less
-than one each together make as many as they may.
+A new process has nothing saved up, since its predecessor may have spent it.
+Where less than one retry may be saved up, it is spent by chance, so that
+hundreds of such gateways together make as many as they may.
 """
 
 from collections import Counter, deque
@@ -30,8 +30,8 @@
 EARNED_PART = 0.85
 # Parts of the extra number that may be saved up, and that come back in each
 # window. The rest covers views that differ, and the chance in small parts.
-SAVED_PART = 0.38
-REFILLED_PART = 0.5
+SAVED_PART = 0.34
+REFILLED_PART = 0.56
 # Time for which earned retries are kept beyond the saved part, in seconds.
 EARNED_KEPT_S = 0.5
 # Time after which all live gateways have heard of a demand, in seconds.
@@ -193,11 +193,12 @@
     def try_withdraw(self, service: str, now: float) -> bool:
         """Takes one retry; returns false if the budget does not allow it.
 
-        Less than one retry is granted by chance, and is gone either way.
+        Where a whole one can never be saved up, what there is is granted by
+        chance, and is gone either way.
         """
         bucket = self._budget(service, now).bucket
         granted = bucket.try_acquire(now)
-        if not granted:
+        if not granted and bucket.burst < 1.0:
             granted = self._draw() < bucket.take_all(now)
         self.count(service, "paid" if granted else "denied")
         return granted
