--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -1,10 +1,8 @@
 """Starts the project's gateways as the deploy file does, and ends them."""
 
 import asyncio
-import json
 import os
 import random
-import re
 import signal
 import socket
 import time
@@ -12,6 +10,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from kingcupvane.tests.template import render
 from review.standins import client
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -50,34 +49,6 @@
             return subnet
 
 
-def render(template: str, values: dict) -> str:
-    """Fills in the placeholders that `deploy/settings.toml` uses."""
-
-    def look_up(name: str, scope: dict) -> object:
-        value: object = scope
-        for part in name.split("."):
-            value = value[int(part)] if isinstance(value, list) else value[part]
-        return value
-
-    def section(match: re.Match) -> str:
-        table = values[match[1]]
-        return "".join(
-            match[2].replace("{{@}}", key).replace("{{.|json}}", json.dumps(v))
-            for key, v in table.items()
-        )
-
-    def placeholder(match: re.Match) -> str:
-        value = look_up(match[1], values)
-        if match[2] or isinstance(value, bool | list | dict):
-            return json.dumps(value)
-        return str(value)
-
-    text = re.sub(
-        r"\{\{#(\w+)\}\}(.*?)\{\{/\1\}\}", section, template, flags=re.S
-    )
-    return re.sub(r"\{\{([\w.]+)(\|json)?\}\}", placeholder, text)
-
-
 @dataclass
 class Gateway:
     """One gateway process on a loopback address of its own.
