Targets' load with a fourth figure is read, downloads may be repeated

Cause: a load header with four figures was dropped whole, so that on the deployments whose targets also say how long work takes now no load was known at all. Routes of the kind 'download' counted as not idempotent.

Change: the fourth figure, percent of the usual time, is decoded as the slowdown of ReportedLoad, None where it is missing or unreadable; the first three hold either way. Downloads are idempotent, with a kind of their own.

Nothing uses the slowdown yet.

--- a/kingcupvane/platform/records.py
+++ b/kingcupvane/platform/records.py
@@ -51,6 +51,7 @@
     "safe": RouteKind.IDEMPOTENT,
     "unsafe": RouteKind.NON_IDEMPOTENT,
     "upload": RouteKind.UPLOAD,
+    "download": RouteKind.DOWNLOAD,
 }
 ROLLOUT_STATES_BY_WIRE_NAME = {
     "running": RolloutRecordState.RUNNING,
--- a/kingcupvane/request/announcements.py
+++ b/kingcupvane/request/announcements.py
@@ -24,6 +24,11 @@
 DEFERRAL_MAX_S = 120.0
 # Largest number of requests or slots in a load header that is believed.
 REPORTED_LOAD_MAX = 10_000
+# Figures of a load header that are always there.
+LOAD_FIGURES = 3
+# Bounds of the slowdown that a target reports, 1 being its usual speed.
+SLOWDOWN_MIN = 0.1
+SLOWDOWN_MAX = 20.0
 # Leaving instances that a gateway remembers; the oldest are forgotten first.
 LEAVING_INSTANCES_MAX = 1024
 
@@ -135,14 +140,30 @@
 
     Args:
         value: Running requests, waiting requests and slots, as integers with
-            commas between them.
+            commas between them; a fourth integer, if any, states how long work
+            takes at present, in percent of the usual time.
     """
     parts = value.split(b",") if value is not None else []
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    counts, slowdown = parts[:LOAD_FIGURES], parts[LOAD_FIGURES:]
+    if len(counts) < LOAD_FIGURES or len(slowdown) > 1:
         return None
-    numbers = [min(REPORTED_LOAD_MAX, float(part)) for part in parts]
+    if not all(part.strip().isdigit() for part in counts):
+        return None
+    numbers = [min(REPORTED_LOAD_MAX, float(part)) for part in counts]
     running, waiting, slots = (int(number) for number in numbers)
-    return ReportedLoad(running=running, waiting=waiting, slots=slots)
+    return ReportedLoad(
+        running=running,
+        waiting=waiting,
+        slots=slots,
+        slowdown=_parse_slowdown(slowdown[0]) if slowdown else None,
+    )
+
+
+def _parse_slowdown(percent: bytes) -> float | None:
+    """Returns a slowdown within its bounds; None if it is not a number."""
+    if not percent.strip().isdigit():
+        return None
+    return min(SLOWDOWN_MAX, max(SLOWDOWN_MIN, float(percent) / 100.0))
 
 
 class LeavingInstances:
--- a/kingcupvane/request/gateway_request.py
+++ b/kingcupvane/request/gateway_request.py
@@ -28,8 +28,9 @@
         deadline: Time that the caller still waits, in milliseconds.
         instance: Name of the target that the request is addressed to.
         account: Name of the client account, set by the gateway.
-        load: Running requests, waiting requests and slots of the target, as
-            integers with commas between them.
+        load: Running requests, waiting requests and slots of the target, and
+            where it says so how long work takes at present in percent of the
+            usual time, as integers with commas between them.
         not_executed: Present when the target did not execute the request.
         stamp: Present on each response that the target itself produced.
         leaving: Headers that announce the stop of the responding target, each
--- a/kingcupvane/request/placement.py
+++ b/kingcupvane/request/placement.py
@@ -115,11 +115,14 @@
         running: Requests in progress.
         waiting: Requests in its queue.
         slots: Requests that it can process concurrently.
+        slowdown: How long its work takes at present, relative to the usual
+            time; None if it doesn't say.
     """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
 
     @property
     def is_full(self) -> bool:
--- a/kingcupvane/tests/test_platform_records.py
+++ b/kingcupvane/tests/test_platform_records.py
@@ -93,6 +93,26 @@
     assert plan.limits.idle_timeout_s == 9
 
 
+@pytest.mark.parametrize(
+    ("kind", "is_idempotent"),
+    [
+        ("safe", True),
+        ("download", True),
+        ("unsafe", False),
+        ("upload", False),
+        ("novelty", False),
+    ],
+)
+def test_kind_of_a_route_tells_whether_its_requests_may_be_repeated(
+    kind, is_idempotent
+):
+    spec = ROUTE_SPEC | {"kind": kind}
+    config = {"version": "1", "resources": [resource("routes", "r", spec)]}
+    plan = DECODER.decode(item("op/config", config)).plan
+    route = plan.find_route("h.example", "/r/17")
+    assert route.is_idempotent is is_idempotent
+
+
 def test_target_record_is_decoded_to_a_registered_target():
     update = DECODER.decode(item("servers/i-1", TARGET_RECORD))
     target = update.target
--- a/kingcupvane/version/plan.py
+++ b/kingcupvane/version/plan.py
@@ -17,10 +17,12 @@
 class RouteKind(enum.StrEnum):
     """Kind of a route's requests.
 
-    Only requests of the kind `IDEMPOTENT` may be executed more than once.
+    Only requests of the kinds `IDEMPOTENT` and `DOWNLOAD`, whose responses are
+    large, may be executed more than once.
     """
 
     IDEMPOTENT = "idempotent"
+    DOWNLOAD = "download"
     NON_IDEMPOTENT = "once"
     UPLOAD = "upload"
 
@@ -76,7 +78,7 @@
     @property
     def is_idempotent(self) -> bool:
         """Whether a request may run more than once."""
-        return self.kind is RouteKind.IDEMPOTENT
+        return self.kind in (RouteKind.IDEMPOTENT, RouteKind.DOWNLOAD)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
