Service times: by route, in a module of their own

Cause: one moving average a service held the times of all its routes. Where routes of very different lengths share targets, none of them was expected right, neither its own time nor the wait behind the others; refusals, the choice of a target and the spillover follow from both.

--- a/kingcupvane/process/catalog.py
+++ b/kingcupvane/process/catalog.py
@@ -20,10 +20,10 @@
     BULK_BYTES,
     Locality,
     RankingCache,
-    ServiceTimeEstimate,
     TargetView,
 )
 from kingcupvane.request.quota import DemandEstimator, DistributedQuota
+from kingcupvane.request.service_time import ServiceTimes
 from kingcupvane.request.slow_start import SlowStartLimiter
 from kingcupvane.request.spillover import (
     RegionLoad,
@@ -146,7 +146,7 @@
         rollout_specs_by_service: Specifications of rollouts.
         rollout_records_by_service: Rollout records in the store.
         rollout_checkpoints_by_service: Stored checkpoints of rollouts.
-        service_time_by_service: Estimated service time of requests.
+        service_times: Estimated service times of requests.
         slow_start: Limits the rate of requests to cold targets.
         target_limits: Rate limits that targets have named.
         peer_requests: Requests of other gateways in flight at the targets.
@@ -178,7 +178,7 @@
         self.rollout_specs_by_service: dict[str, RolloutSpec] = {}
         self.rollout_records_by_service: dict[str, RolloutRecord] = {}
         self.rollout_checkpoints_by_service: dict[str, RolloutCheckpoint] = {}
-        self.service_time_by_service: dict[str, ServiceTimeEstimate] = {}
+        self.service_times = ServiceTimes()
         self.slow_start = SlowStartLimiter(name=name)
         self.target_limits = TargetLimits(
             quota=quota, log_event=timeline.record
@@ -409,7 +409,7 @@
         """
         now = self._clock.now()
         for service, views in self._views_by_service.items():
-            service_time_s = self.service_time(service).warm_service_s
+            service_time_s = self.service_times.mean_s(service)
             slots: dict[str, int] = {}
             used_slots: dict[str, float] = {}
             for view in views:
@@ -449,12 +449,6 @@
             and view.target.data_centre not in self.evacuated
         )
 
-    def service_time(self, service: str) -> ServiceTimeEstimate:
-        """Returns the service time estimate of a service."""
-        return self.service_time_by_service.setdefault(
-            service, ServiceTimeEstimate()
-        )
-
     def cold_rate(self, service: str) -> float:
         """Returns how many requests a second a cold target tolerates."""
         service_plan = self.plan.services_by_name.get(service)
--- a/kingcupvane/request/pipeline.py
+++ b/kingcupvane/request/pipeline.py
@@ -431,15 +431,15 @@
     def _slot_retry_after_s(self, gateway_request: GatewayRequest) -> float:
         """Returns the Retry-After until a target should have a free slot."""
         now = self._clock.now()
-        service_time = self._catalog.service_time(gateway_request.service)
+        queue_service_s = self._catalog.service_times.mean_s(
+            gateway_request.service
+        )
         waits_s = []
         for view in self._catalog.views(gateway_request.service):
             if view.is_leaving:
                 continue
             queued = max(0.0, view.load(now) + 1.0 - view.target.slots)
-            queue_wait_s = (
-                queued * service_time.warm_service_s / view.target.slots
-            )
+            queue_wait_s = queued * queue_service_s / view.target.slots
             limit_wait_s = self._catalog.target_limits.wait_s(view.target, now)
             waits_s.append(
                 max(queue_wait_s, view.deferred_until - now, limit_wait_s)
--- a/kingcupvane/request/placement.py
+++ b/kingcupvane/request/placement.py
@@ -18,6 +18,7 @@
 from dataclasses import dataclass, replace
 
 from kingcupvane.hashing import stable_hash
+from kingcupvane.request.service_time import EWMA_WEIGHT, ServiceTimeEstimate
 from kingcupvane.version.plan import RegisteredTarget
 
 # Weight of targets in other data centres of the region for bulk requests,
@@ -42,14 +43,8 @@
 # Affinity keys per target that a gateway remembers as warm, and for how long.
 WARM_KEYS_MAX = 64
 WARM_TTL_S = 20.0
-# Weights of a new sample in exponentially weighted moving averages.
-EWMA_WEIGHT = 0.15
+# Weight of a new sample in the moving average of a target's reported load.
 LOAD_EWMA_WEIGHT = 0.5
-# Service times assumed before the first sample, in seconds.
-INITIAL_WARM_SERVICE_S = 0.15
-INITIAL_COLD_SERVICE_S = 0.4
-# Samples for warm keys from which the service time counts as known.
-WARM_SAMPLES_MIN = 20
 # Cost per rank, in seconds, for a key that is warm at no candidate: all
 # gateways should then warm the same target, unless it has a queue.
 RANK_COST_S = 0.08
@@ -130,47 +125,6 @@
         return self.running >= self.slots
 
 
-class ServiceTimeEstimate:
-    """Moving averages of a service's service time, for warm and cold keys.
-
-    Attributes:
-        warm_service_s: Service time for a key that is warm at the target, in
-            seconds.
-        cold_service_s: Service time for any other key, in seconds.
-    """
-
-    def __init__(self):
-        """Starts with the initial service times and no samples."""
-        self.warm_service_s = INITIAL_WARM_SERVICE_S
-        self.cold_service_s = INITIAL_COLD_SERVICE_S
-        self._samples = 0
-
-    @property
-    def has_enough_samples(self) -> bool:
-        """Whether there are enough samples for warm keys."""
-        return self._samples >= WARM_SAMPLES_MIN
-
-    def add(self, *, is_known_warm: bool, elapsed_s: float) -> None:
-        """Adds the measured service time of one request.
-
-        Args:
-            is_known_warm: Whether this gateway knows that the key was warm. If
-                not, another gateway may have warmed it: a service time closer
-                to the warm than to the cold average is then ignored.
-            elapsed_s: Service time, in seconds.
-        """
-        if is_known_warm:
-            self._samples += 1
-            # The first sample replaces the initial value, and the first few
-            # have equal weight.
-            weight = max(EWMA_WEIGHT, 1.0 / self._samples)
-            self.warm_service_s += weight * (elapsed_s - self.warm_service_s)
-        elif elapsed_s > 0.5 * (self.warm_service_s + self.cold_service_s):
-            self.cold_service_s += EWMA_WEIGHT * (
-                elapsed_s - self.cold_service_s
-            )
-
-
 class TargetView:
     """One gateway's view of a target: load, warm keys and health.
 
@@ -523,7 +477,8 @@
         warm_s if assume_warm else service_time.cold_service_s * view.slowness
     )
     queue_length = max(0.0, view.load(now) + 1.0 - target.slots)
-    wait = queue_length * warm_s / target.slots
+    queue_service_s = service_time.queue_service_s * view.slowness
+    wait = queue_length * queue_service_s / target.slots
     expected_latency = round_trip + wait + service_s
     cost = expected_latency + view.failure_share * FAILURE_COST_S
     cost += (COLD_WORK_WEIGHT - 1.0) * (service_s - warm_s)
--- a/kingcupvane/request/selection.py
+++ b/kingcupvane/request/selection.py
@@ -111,7 +111,9 @@
                 ),
                 affinity_key=gateway_request.affinity_key,
                 usable=partial(self._may_use, gateway_request, cohort, now),
-                service_time=self._catalog.service_time(service),
+                service_time=self._catalog.service_times.get(
+                    service, gateway_request.route.name
+                ),
                 locality=self._catalog.locality,
                 size=size,
                 now=now,
--- a/kingcupvane/request/sending.py
+++ b/kingcupvane/request/sending.py
@@ -41,6 +41,7 @@
     record_service_time,
 )
 from kingcupvane.request.selection import TargetSelector
+from kingcupvane.request.service_time import ServiceTimeEstimate
 
 # Extra wait past the deadline, in seconds, for responses that arrive just then.
 DEADLINE_SLACK_S = 0.03
@@ -168,10 +169,13 @@
             )
         ratio = 0.0
         if answered:
-            service_time = self._catalog.service_time(gateway_request.service)
+            service_time = self._service_time(gateway_request)
             if candidate.is_known_warm and service_time.has_enough_samples:
                 ratio = latency_ratio(candidate, elapsed_s)
             record_service_time(service_time, candidate, reported, elapsed_s)
+            self._catalog.service_times.count(
+                gateway_request.service, gateway_request.route.name
+            )
         if _shed_with_free_slots(attempt, reported):
             # A target that sheds with free slots refuses only a share of its
             # requests, so it may accept this one at the next attempt.
@@ -226,7 +230,7 @@
             return
         if self._catalog.slow_start.is_cold(target.name, self._clock.now()):
             return
-        service_time = self._catalog.service_time(gateway_request.service)
+        service_time = self._service_time(gateway_request)
         nominal_s = nominal_latency_s(candidate, service_time)
         sample = ExchangeSample(
             service=gateway_request.service,
@@ -244,6 +248,13 @@
             return
         self._evidence.add(sample)
 
+    def _service_time(
+        self, gateway_request: GatewayRequest
+    ) -> ServiceTimeEstimate:
+        return self._catalog.service_times.get(
+            gateway_request.service, gateway_request.route.name
+        )
+
     async def _exchange(
         self, gateway_request: GatewayRequest, view: TargetView
     ) -> Attempt:
--- a/kingcupvane/tests/test_placement.py
+++ b/kingcupvane/tests/test_placement.py
@@ -15,13 +15,13 @@
     Locality,
     RankingCache,
     ReportedLoad,
-    ServiceTimeEstimate,
     TargetView,
     choose_candidate,
     latency_ratio,
     rank_targets,
     record_service_time,
 )
+from kingcupvane.request.service_time import ServiceTimeEstimate
 from kingcupvane.tests.targets import registered_target
 
 WARM_SERVICE_S = 0.108
