Spillover: follows the peak of the demand, starts from the regions' slots

Cause: the share that a region serves itself followed each wave of its demand in steps of 0.04 a second, and started at 1.0 after each restart. Where a region has few targets, most of its affinity keys moved to other targets and back in each wave, to be served cold, and all of them after a restart.

Change: the demand is its recent peak, forgotten over minutes; the share returns half as fast as it spills over and not for small differences. Until demand is known the slots of the regions decide, for equal demand in each, so that all gateways of a region agree without a message after a restart, too.

--- a/kingcupvane/process/catalog.py
+++ b/kingcupvane/process/catalog.py
@@ -424,7 +424,7 @@
                             service_time_s=service_time_s,
                         )
                     )
-            regions = {*slots, self.locality.region}
+            regions = {*slots, *demand_by_region, self.locality.region}
             loads = {
                 region: RegionLoad(
                     demand=demand_by_region.get(region, {}).get(service, 0.0),
@@ -436,7 +436,9 @@
             if controller is None:
                 controller = SpilloverController(region=self.locality.region)
                 self._spillover_by_service[service] = controller
-            shares = controller.update(loads, service_time_s=service_time_s)
+            shares = controller.update(
+                loads, service_time_s=service_time_s, now=now
+            )
             weights = {
                 region: share / max(1, slots.get(region, 0))
                 for region, share in shares.by_region.items()
--- a/kingcupvane/request/spillover.py
+++ b/kingcupvane/request/spillover.py
@@ -1,13 +1,19 @@
 """Spillover: the share of a region's requests that other regions serve.
 
 Load pattern: a region's demand for a service exceeds what its own targets can
-serve while other regions have spare capacity, and the ratio changes with the
-time of day. Demand beyond a set utilization of the local targets spills over to
-other regions in proportion to their spare capacity. The share changes in small
-steps, so that affinity keys keep their targets and no region is overloaded by a
-sudden change.
+serve while other regions have spare capacity; the demand rises and falls in
+waves, each region's at another time. Demand beyond a set utilization of the
+local targets spills over to other regions in proportion to their spare
+capacity.
+
+Each change of a share moves affinity keys to targets that are cold for them.
+The share therefore changes in small steps, follows the recent peak of the
+demand rather than its waves, and returns more slowly than it spills over. Until
+demand is known, at the start and after a restart, the regions' slots decide:
+all gateways of a region then agree without messages.
 """
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -19,6 +25,12 @@
 # skipped unless all requests are to be served locally again.
 STEP_MAX = 0.04
 STEP_MIN = 0.02
+# Largest step by which a share returns to the region, and the difference from
+# the desired share up to which it stays as it is.
+RETURN_STEP_MAX = 0.02
+RETURN_BAND = 0.1
+# Time constant with which the peak of a demand is forgotten, in seconds.
+PEAK_TIME_CONSTANT_S = 120.0
 # Least share that a region with targets serves itself while it has demand.
 LOCAL_SHARE_MIN = 0.1
 
@@ -67,20 +79,43 @@
     )
 
 
+class RecentPeak:
+    """The recent peak of a varying demand, forgotten slowly."""
+
+    def __init__(self):
+        """Starts without demand."""
+        self._value = 0.0
+        self._updated_at = 0.0
+
+    def update(self, demand: float, now: float) -> float:
+        """Takes the present demand; returns the peak, in the same unit."""
+        age_s = max(0.0, now - self._updated_at)
+        decayed = self._value * math.exp(-age_s / PEAK_TIME_CONSTANT_S)
+        self._value = max(demand, decayed)
+        self._updated_at = now
+        return self._value
+
+
 class SpilloverController:
     """Controls which share of one service's requests is served locally."""
 
     def __init__(self, *, region: str):
-        """Starts with all requests served locally.
+        """Starts without knowledge of the demand.
 
         Args:
             region: Region of this gateway.
         """
         self._region = region
-        self._local_share = 1.0
+        self._local_share: float | None = None
+        self._has_seen_demand = False
+        self._peaks_by_region: dict[str, RecentPeak] = {}
 
     def update(
-        self, loads: Mapping[str, RegionLoad], *, service_time_s: float
+        self,
+        loads: Mapping[str, RegionLoad],
+        *,
+        service_time_s: float,
+        now: float,
     ) -> RegionShares:
         """Makes one step towards the desired shares and returns the result.
 
@@ -89,25 +124,46 @@
         Args:
             loads: Load by region, including the local one.
             service_time_s: Service time of a request, in seconds.
+            now: Monotonic seconds.
         """
         local = loads.get(self._region, RegionLoad(demand=0.0, slots=0))
+        if local.demand > 0.0:
+            self._has_seen_demand = True
+        peaks = {
+            region: self._at_peak(region, load, now)
+            for region, load in loads.items()
+        }
         spare_by_region = {
             region: _spare_capacity(load, service_time_s)
-            for region, load in loads.items()
+            for region, load in peaks.items()
             if region != self._region
         }
-        desired = _desired_local_share(
-            local, sum(spare_by_region.values()), service_time_s
-        )
-        step = max(-STEP_MAX, min(STEP_MAX, desired - self._local_share))
         if local.slots == 0:
             self._local_share = 0.0
-        elif abs(step) >= STEP_MIN or desired in (0.0, 1.0):
-            self._local_share = min(1.0, max(0.0, self._local_share + step))
+        elif self._local_share is None or not self._has_seen_demand:
+            self._local_share = _balanced_local_share(local, loads)
+            return RegionShares(
+                by_region=self._split_shares(
+                    _balanced_spare(loads, self._region), loads
+                )
+            )
+        else:
+            desired = _desired_local_share(
+                peaks[self._region],
+                sum(spare_by_region.values()),
+                service_time_s,
+            )
+            self._local_share += _step(self._local_share, desired)
         return RegionShares(
             by_region=self._split_shares(spare_by_region, loads)
         )
 
+    def _at_peak(self, region: str, load: RegionLoad, now: float) -> RegionLoad:
+        peak = self._peaks_by_region.setdefault(region, RecentPeak())
+        return RegionLoad(
+            demand=peak.update(load.demand, now), slots=load.slots
+        )
+
     def _split_shares(
         self,
         spare_by_region: Mapping[str, float],
@@ -127,6 +183,39 @@
         return share_by_region
 
 
+def _step(share: float, desired: float) -> float:
+    """Returns by how much a local share changes now."""
+    gap = desired - share
+    if gap < 0.0:
+        return 0.0 if -gap < STEP_MIN else max(-STEP_MAX, gap)
+    if gap <= RETURN_BAND and desired < 1.0:
+        return 0.0
+    return min(RETURN_STEP_MAX, gap)
+
+
+def _balanced_local_share(
+    local: RegionLoad, loads: Mapping[str, RegionLoad]
+) -> float:
+    """Returns the local share for equal demand in all regions.
+
+    All targets then have the same utilization, whatever the demand.
+    """
+    mean_slots = sum(load.slots for load in loads.values()) / len(loads)
+    return max(LOCAL_SHARE_MIN, min(1.0, local.slots / mean_slots))
+
+
+def _balanced_spare(
+    loads: Mapping[str, RegionLoad], local_region: str
+) -> dict[str, float]:
+    """Returns the slots beyond a region's own need, for equal demand."""
+    mean_slots = sum(load.slots for load in loads.values()) / len(loads)
+    return {
+        region: max(0.0, load.slots - mean_slots)
+        for region, load in loads.items()
+        if region != local_region
+    }
+
+
 def _spare_capacity(load: RegionLoad, service_time_s: float) -> float:
     """Returns the spillover that a region can take, in requests per second."""
     capacity = SPILLOVER_UTILIZATION_MAX * load.slots / service_time_s
