Slowdowns that targets report are used as far as they hold

Cause: targets that share their machines tell how long work takes there now. Nothing used it: a slow moment counted as the target's own slowness, which is remembered for as long as a gateway rarely meets the target, and raised the expected service time of all.

Change: request/slowdown.py keeps the mean slowdown of a service and how far one report still holds at the next one of the same target. A fresh report is believed that far, an old one not at all. Measured times and ratios are taken without the slowdown that came with the answer. Without a fourth figure all estimates are as before. A mix of routes forgets those without requests.

--- a/kingcupvane/request/placement.py
+++ b/kingcupvane/request/placement.py
@@ -19,6 +19,7 @@
 
 from kingcupvane.hashing import stable_hash
 from kingcupvane.request.service_time import EWMA_WEIGHT, ServiceTimeEstimate
+from kingcupvane.request.slowdown import TargetSlowdown
 from kingcupvane.version.plan import RegisteredTarget
 
 # Weight of targets in other data centres of the region for bulk requests,
@@ -132,7 +133,8 @@
         target: Registration of the target.
         in_flight: Requests of this gateway in flight at the target.
         slowness: Moving average of the target's service time relative to the
-            average of its service.
+            average of its service, without the slowdowns that it reported.
+        slowdown: The slowdown that it last reported.
         failure_share: Moving average of the share of failed exchanges.
         has_announced_leaving: Whether a response has announced its stop.
         deferred_until: Monotonic time until which it wants no requests from
@@ -146,6 +148,7 @@
         self.target = target
         self.in_flight = 0
         self.slowness = 1.0
+        self.slowdown = TargetSlowdown()
         self.failure_share = 0.0
         self.has_announced_leaving = False
         self.deferred_until = float("-inf")
@@ -312,6 +315,7 @@
             seconds.
         round_trip_s: Part of `expected_latency_s` spent on the network, in
             seconds.
+        slowdown: Slowdown that the target is expected to have, from reports.
         is_known_warm: Whether this gateway sent the key to the target recently.
     """
 
@@ -321,6 +325,7 @@
     wait_s: float
     round_trip_s: float
     is_known_warm: bool
+    slowdown: float = 1.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -472,12 +477,12 @@
     round_trip = (
         ROUND_TRIP_OTHER_REGION_S if other_region else ROUND_TRIP_SAME_REGION_S
     )
-    warm_s = service_time.warm_service_s * view.slowness
-    service_s = (
-        warm_s if assume_warm else service_time.cold_service_s * view.slowness
-    )
+    slowdown = view.slowdown.expected(service_time.slowdown, now)
+    factor = view.slowness * slowdown
+    warm_s = service_time.warm_service_s * factor
+    service_s = warm_s if assume_warm else service_time.cold_service_s * factor
     queue_length = max(0.0, view.load(now) + 1.0 - target.slots)
-    queue_service_s = service_time.queue_service_s * view.slowness
+    queue_service_s = service_time.queue_service_s * factor
     wait = queue_length * queue_service_s / target.slots
     expected_latency = round_trip + wait + service_s
     cost = expected_latency + view.failure_share * FAILURE_COST_S
@@ -491,20 +496,27 @@
         wait_s=wait,
         round_trip_s=round_trip,
         is_known_warm=is_known_warm,
+        slowdown=slowdown,
     )
 
 
-def latency_ratio(candidate: Candidate, elapsed_s: float) -> float:
+def latency_ratio(
+    candidate: Candidate, elapsed_s: float, reported: ReportedLoad | None = None
+) -> float:
     """Returns measured over expected time of an exchange, without round trip.
 
     Args:
         candidate: The target with its expected latency.
         elapsed_s: Measured time of the exchange, in seconds.
+        reported: Load that the target reported; its slowdown takes the place of
+            the one that was expected.
 
     Returns:
         The ratio, capped; 0 when no time was expected.
     """
     expected = candidate.expected_latency_s - candidate.round_trip_s
+    if reported is not None and reported.slowdown is not None:
+        expected *= reported.slowdown / candidate.slowdown
     spent = max(0.0, elapsed_s - candidate.round_trip_s)
     return min(LATENCY_RATIO_MAX, spent / expected) if expected > 0.0 else 0.0
 
@@ -518,7 +530,7 @@
         if candidate.is_known_warm
         else service_time.cold_service_s
     )
-    wait = candidate.wait_s / candidate.view.slowness
+    wait = candidate.wait_s / (candidate.view.slowness * candidate.slowdown)
     return candidate.round_trip_s + wait + service_s
 
 
@@ -539,10 +551,11 @@
     queued = candidate.wait_s > 0.0 or (reported and reported.waiting > 0)
     if queued:
         return
+    slowdown = reported.slowdown if reported is not None else None
     spent = max(0.0, elapsed_s - candidate.round_trip_s)
     service_time.add(
         is_known_warm=candidate.is_known_warm,
-        elapsed_s=spent / candidate.view.slowness,
+        elapsed_s=spent / (candidate.view.slowness * (slowdown or 1.0)),
     )
 
 
--- a/kingcupvane/request/sending.py
+++ b/kingcupvane/request/sending.py
@@ -168,10 +168,12 @@
                 gateway_request.route.name, len(attempt.response.body)
             )
         ratio = 0.0
+        service_time = self._service_time(gateway_request)
+        if reported is not None and reported.slowdown is not None:
+            view.slowdown.add(reported.slowdown, service_time.slowdown, now)
         if answered:
-            service_time = self._service_time(gateway_request)
             if candidate.is_known_warm and service_time.has_enough_samples:
-                ratio = latency_ratio(candidate, elapsed_s)
+                ratio = latency_ratio(candidate, elapsed_s, reported)
             record_service_time(service_time, candidate, reported, elapsed_s)
             self._catalog.service_times.count(
                 gateway_request.service, gateway_request.route.name
--- a/kingcupvane/request/service_time.py
+++ b/kingcupvane/request/service_time.py
@@ -5,6 +5,8 @@
 target's queue from the mix of all routes there.
 """
 
+from kingcupvane.request.slowdown import ServiceSlowdown
+
 # Weight of a new sample in a moving average.
 EWMA_WEIGHT = 0.15
 # Service times assumed before the first sample, in seconds.
@@ -12,15 +14,22 @@
 INITIAL_COLD_SERVICE_S = 0.4
 # Samples for warm keys from which the service time counts as known.
 WARM_SAMPLES_MIN = 20
-# Weight of a new sample in the moving average of a route's share.
+# Weight of a new sample in the moving average of a route's share, and the share
+# below which a route is forgotten.
 SHARE_EWMA_WEIGHT = 0.02
+SHARE_MIN = 0.001
 
 
 class RouteMix:
-    """The routes that share a service, and the share of each."""
+    """The routes that share a service, and the share of each.
+
+    Attributes:
+        slowdown: What the service's targets reported of their slowdown.
+    """
 
     def __init__(self):
         """Starts without routes."""
+        self.slowdown = ServiceSlowdown()
         self._share_by_route: dict[str, float] = {}
         self._estimates_by_route: dict[str, ServiceTimeEstimate] = {}
 
@@ -30,10 +39,13 @@
 
     def count(self, route: str) -> None:
         """Counts a request of a route."""
-        shares = self._share_by_route
-        for known in shares:
-            shares[known] *= 1.0 - SHARE_EWMA_WEIGHT
-        shares[route] = shares.get(route, 0.0) + SHARE_EWMA_WEIGHT
+        decayed = {
+            known: share * (1.0 - SHARE_EWMA_WEIGHT)
+            for known, share in self._share_by_route.items()
+            if share >= SHARE_MIN
+        }
+        decayed[route] = decayed.get(route, 0.0) + SHARE_EWMA_WEIGHT
+        self._share_by_route = decayed
 
     def mean_warm_service_s(self) -> float | None:
         """Returns the mean service time for warm keys; None if unknown."""
@@ -62,7 +74,7 @@
         Args:
             mix: The routes that share the service; None for this one only.
         """
-        self._mix = mix
+        self._mix = mix or RouteMix()
         self.warm_service_s = INITIAL_WARM_SERVICE_S
         self.cold_service_s = INITIAL_COLD_SERVICE_S
         self._samples = 0
@@ -72,10 +84,15 @@
         """Whether there are enough samples for warm keys."""
         return self._samples >= WARM_SAMPLES_MIN
 
+    @property
+    def slowdown(self) -> ServiceSlowdown:
+        """What the targets of the service reported of their slowdown."""
+        return self._mix.slowdown
+
     @property
     def queue_service_s(self) -> float:
         """Mean service time of the requests in a target's queue."""
-        mean_s = self._mix.mean_warm_service_s() if self._mix else None
+        mean_s = self._mix.mean_warm_service_s()
         return self.warm_service_s if mean_s is None else mean_s
 
     def add(self, *, is_known_warm: bool, elapsed_s: float) -> None:
--- a/kingcupvane/tests/test_service_time.py
+++ b/kingcupvane/tests/test_service_time.py
@@ -39,3 +39,8 @@
     times = times_of(*[("pull", SHORT_S)] * 40)
     estimate = times.get("files", "pull")
     assert estimate.queue_service_s == estimate.warm_service_s
+
+
+def test_routes_without_requests_leave_the_mix():
+    samples = [("pull", SHORT_S)] + [("history", LONG_S)] * 600
+    assert times_of(*samples).mean_s("files") == pytest.approx(LONG_S)
