--- a/bench/overload.py
+++ b/bench/overload.py
@@ -19,9 +19,9 @@
 from kingcupvane.process.timeline import HybridClock, Timeline
 from kingcupvane.request.concurrency import ExchangeOutcome
 from kingcupvane.request.context import RequestContext
+from kingcupvane.request.crashes import CrashRegistry
 from kingcupvane.request.dispatch import Dispatcher
 from kingcupvane.request.load_balancing import LoadBalancer
-from kingcupvane.request.retry import CrashRegistry
 from kingcupvane.settings import QueueSettings, RetrySettings
 from kingcupvane.version.configuration import Configuration, Items
 from kingcupvane.version.items import Route, Service, Target, Version
