Placement: a free target rather than a refusal, and keys that others have warmed

Cause: a request was refused when the wait at its key's first rank was too long, though other targets had free slots; and a key that this gateway had not seen yet counted as cold at its first rank, where other gateways send it, so that it was sent elsewhere or refused after 0.06 s of expected wait.

Change: with an expected wait beyond its limit a request goes to the cheapest compared target with an allowed wait, or to the next free one, while the service's slots are used by less than 60%. The share of new keys that are warm at their first rank is learned from their times.

--- a/kingcupvane/request/placement.py
+++ b/kingcupvane/request/placement.py
@@ -46,6 +46,14 @@
 WARM_TTL_S = 20.0
 # Weight of a new sample in the moving average of a target's reported load.
 LOAD_EWMA_WEIGHT = 0.5
+# Utilization of a service's targets from which a request isn't sent to a target
+# that is cold for its key only because the others have too long a queue: the
+# extra work would lengthen all queues.
+DIVERSION_UTILIZATION_MAX = 0.6
+# Utilization of a service's targets from which a request isn't sent to a target
+# that is cold for its key only because the others have too long a queue: the
+# extra work would lengthen all queues.
+DIVERSION_UTILIZATION_MAX = 0.6
 # Cost per rank, in seconds, for a key that is warm at no candidate: all
 # gateways should then warm the same target, unless it has a queue.
 RANK_COST_S = 0.08
@@ -214,6 +222,10 @@
         )
         return self.in_flight + peer_load
 
+    def has_free_slot(self, now: float) -> bool:
+        """Returns whether a further request need not queue, as estimated."""
+        return self.load(now) + 1.0 <= self.target.slots
+
     def record_start(self, affinity_key: str, now: float) -> None:
         """Records that a request is sent to the target."""
         self.in_flight += 1
@@ -317,6 +329,7 @@
             seconds.
         slowdown: Slowdown that the target is expected to have, from reports.
         is_known_warm: Whether this gateway sent the key to the target recently.
+        is_first_rank: Whether it is the first usable target for the key.
     """
 
     view: TargetView
@@ -325,6 +338,7 @@
     wait_s: float
     round_trip_s: float
     is_known_warm: bool
+    is_first_rank: bool = False
     slowdown: float = 1.0
 
 
@@ -456,6 +470,7 @@
     *,
     assume_warm: bool,
     is_known_warm: bool,
+    is_first_rank: bool = False,
     service_time: ServiceTimeEstimate,
     locality: Locality,
     size: int,
@@ -467,6 +482,7 @@
         view: The target.
         assume_warm: Whether the target is assumed to be warm for the key.
         is_known_warm: Whether this gateway sent the key to the target recently.
+        is_first_rank: Whether all gateways prefer the target for the key.
         service_time: Service times of the service.
         locality: Locality of the gateway.
         size: Bytes of the request and of the expected response.
@@ -480,7 +496,11 @@
     slowdown = view.slowdown.expected(service_time.slowdown, now)
     factor = view.slowness * slowdown
     warm_s = service_time.warm_service_s * factor
-    service_s = warm_s if assume_warm else service_time.cold_service_s * factor
+    cold_s = service_time.cold_service_s * factor
+    warm_chance = 1.0 if assume_warm else 0.0
+    if is_first_rank and not assume_warm:
+        warm_chance = service_time.first_rank_warm_share
+    service_s = warm_chance * warm_s + (1.0 - warm_chance) * cold_s
     queue_length = max(0.0, view.load(now) + 1.0 - target.slots)
     queue_service_s = service_time.queue_service_s * factor
     wait = queue_length * queue_service_s / target.slots
@@ -496,6 +516,7 @@
         wait_s=wait,
         round_trip_s=round_trip,
         is_known_warm=is_known_warm,
+        is_first_rank=is_first_rank,
         slowdown=slowdown,
     )
 
@@ -555,6 +576,7 @@
     spent = max(0.0, elapsed_s - candidate.round_trip_s)
     service_time.add(
         is_known_warm=candidate.is_known_warm,
+        is_first_rank=candidate.is_first_rank,
         elapsed_s=spent / (candidate.view.slowness * (slowdown or 1.0)),
     )
 
@@ -568,14 +590,13 @@
     locality: Locality,
     size: int,
     now: float,
+    wait_limit_s: Callable[[Candidate], float] | None = None,
 ) -> Candidate | None:
-    """Returns the cheapest candidate, or None if no target is usable.
+    """Returns the best candidate, or None if no target is usable.
 
-    The first `CANDIDATES_MAX` usable targets of the ranking are compared. If
-    any of them is warm for the key, the first one is assumed to be warm too,
-    since all gateways prefer it. A cold target of a later rank is a candidate
-    only while it has a free slot: cold work in a queue would delay requests
-    for warm keys.
+    That is the cheapest one of the first ranks. If the request may not wait as
+    long as it would have to there, and the targets are not busy as a whole, it
+    is the cheapest one with an allowed wait, or the first with a free slot.
 
     Args:
         ranking: Targets, best rank first.
@@ -585,20 +606,68 @@
         locality: Locality of the gateway.
         size: Bytes of the request and of the expected response.
         now: Monotonic seconds.
+        wait_limit_s: Returns the longest wait that the request may have at a
+            candidate, in seconds; None for no limit.
     """
-    best: Candidate | None = None
-    candidates = list(_first_usable(ranking, usable, now))
-    any_warm = any(view.is_warm(affinity_key, now) for view in candidates)
-    for rank, view in enumerate(candidates):
+    candidates = _compare_first_ranks(
+        list(_first_usable(ranking, usable, now)),
+        affinity_key=affinity_key,
+        service_time=service_time,
+        locality=locality,
+        size=size,
+        now=now,
+    )
+    if not candidates:
+        return None
+    best = candidates[0]
+    if wait_limit_s is None or best.wait_s <= wait_limit_s(best):
+        return best
+    if _utilization(ranking, now) >= DIVERSION_UTILIZATION_MAX:
+        return best
+    for candidate in candidates[1:]:
+        if candidate.wait_s <= wait_limit_s(candidate):
+            return candidate
+    for view in _with_free_slot(ranking, usable, now):
+        return estimate_candidate(
+            view,
+            assume_warm=False,
+            is_known_warm=view.is_warm(affinity_key, now),
+            service_time=service_time,
+            locality=locality,
+            size=size,
+            now=now,
+        )
+    return best
+
+
+def _compare_first_ranks(
+    views: Sequence[TargetView],
+    *,
+    affinity_key: str,
+    service_time: ServiceTimeEstimate,
+    locality: Locality,
+    size: int,
+    now: float,
+) -> list[Candidate]:
+    """Returns the candidates among the first usable targets, cheapest first.
+
+    If any of them is warm for the key, the first one is assumed to be warm too,
+    since all gateways prefer it. A cold target of a later rank is a candidate
+    only while it has a free slot: cold work in a queue would delay requests
+    for warm keys.
+    """
+    found = []
+    any_warm = any(view.is_warm(affinity_key, now) for view in views)
+    for rank, view in enumerate(views):
         is_known_warm = view.is_warm(affinity_key, now)
         assume_warm = is_known_warm or (rank == 0 and any_warm)
-        is_full = view.load(now) + 1.0 > view.target.slots
-        if rank > 0 and is_full and not assume_warm:
+        if rank > 0 and not assume_warm and not view.has_free_slot(now):
             continue
         candidate = estimate_candidate(
             view,
             assume_warm=assume_warm,
             is_known_warm=is_known_warm,
+            is_first_rank=rank == 0,
             service_time=service_time,
             locality=locality,
             size=size,
@@ -608,9 +677,35 @@
             candidate = replace(
                 candidate, cost_s=candidate.cost_s + RANK_COST_S * rank
             )
-        if best is None or candidate.cost_s < best.cost_s:
-            best = candidate
-    return best
+        found.append(candidate)
+    return sorted(found, key=lambda candidate: candidate.cost_s)
+
+
+def _utilization(views: Sequence[TargetView], now: float) -> float:
+    """Returns the share of the targets' slots that are in use, queues included.
+
+    Targets that get no requests now are left out.
+    """
+    used = total = 0.0
+    for view in views:
+        if view.is_leaving or view.is_avoided(now):
+            continue
+        used += view.load(now)
+        total += view.target.slots
+    return used / total if total else 1.0
+
+
+def _with_free_slot(
+    ranking: Sequence[TargetView],
+    usable: Callable[[TargetView], bool] | None,
+    now: float,
+) -> Iterator[TargetView]:
+    """Yields the usable targets with a free slot, best rank first."""
+    for view in ranking:
+        if view.is_avoided(now) or not view.has_free_slot(now):
+            continue
+        if usable is None or usable(view):
+            yield view
 
 
 def _first_usable(
--- a/kingcupvane/request/selection.py
+++ b/kingcupvane/request/selection.py
@@ -18,6 +18,7 @@
     TargetView,
     choose_candidate,
 )
+from kingcupvane.request.wait_limit import allowed_wait_s
 from kingcupvane.version.move import VersionShare
 from kingcupvane.version.plan import RoutePlan
 
@@ -117,6 +118,7 @@
                 locality=self._catalog.locality,
                 size=size,
                 now=now,
+                wait_limit_s=partial(_wait_limit_s, gateway_request, now),
             )
             if candidate is not None:
                 return candidate
@@ -165,6 +167,18 @@
         return self._catalog.target_limits.may_use(target, now)
 
 
+def _wait_limit_s(
+    gateway_request: GatewayRequest, now: float, candidate: Candidate
+) -> float:
+    return allowed_wait_s(
+        candidate,
+        latency_objective_s=gateway_request.route.latency_objective_s,
+        elapsed_s=now - gateway_request.arrived_at,
+        remaining_s=gateway_request.deadline - now,
+        is_caller_retry=gateway_request.is_caller_retry,
+    )
+
+
 def _is_region_allowed(region: str, gateway_request: GatewayRequest) -> bool:
     """Returns whether both route and account allow a region."""
     route_regions = gateway_request.route.regions
--- a/kingcupvane/request/service_time.py
+++ b/kingcupvane/request/service_time.py
@@ -14,6 +14,9 @@
 INITIAL_COLD_SERVICE_S = 0.4
 # Samples for warm keys from which the service time counts as known.
 WARM_SAMPLES_MIN = 20
+# Weight of a new sample in the moving average of the share of first ranks that
+# are warm.
+WARM_SHARE_EWMA_WEIGHT = 0.05
 # Weight of a new sample in the moving average of a route's share, and the share
 # below which a route is forgotten.
 SHARE_EWMA_WEIGHT = 0.02
@@ -66,6 +69,9 @@
         warm_service_s: Service time for a key that is warm at the target, in
             seconds.
         cold_service_s: Service time for any other key, in seconds.
+        first_rank_warm_share: Share of the keys new to this gateway for which
+            the first target of their ranking was warm: other gateways had sent
+            them there.
     """
 
     def __init__(self, *, mix: RouteMix | None = None):
@@ -77,6 +83,7 @@
         self._mix = mix or RouteMix()
         self.warm_service_s = INITIAL_WARM_SERVICE_S
         self.cold_service_s = INITIAL_COLD_SERVICE_S
+        self.first_rank_warm_share = 0.0
         self._samples = 0
 
     @property
@@ -95,7 +102,13 @@
         mean_s = self._mix.mean_warm_service_s()
         return self.warm_service_s if mean_s is None else mean_s
 
-    def add(self, *, is_known_warm: bool, elapsed_s: float) -> None:
+    def add(
+        self,
+        *,
+        is_known_warm: bool,
+        elapsed_s: float,
+        is_first_rank: bool = False,
+    ) -> None:
         """Adds the measured service time of one request.
 
         Args:
@@ -103,6 +116,7 @@
                 not, another gateway may have warmed it: a service time closer
                 to the warm than to the cold average is then ignored.
             elapsed_s: Service time, in seconds.
+            is_first_rank: Whether all gateways prefer the target for the key.
         """
         if is_known_warm:
             self._samples += 1
@@ -110,10 +124,15 @@
             # have equal weight.
             weight = max(EWMA_WEIGHT, 1.0 / self._samples)
             self.warm_service_s += weight * (elapsed_s - self.warm_service_s)
-        elif elapsed_s > 0.5 * (self.warm_service_s + self.cold_service_s):
+            return
+        was_cold = elapsed_s > 0.5 * (self.warm_service_s + self.cold_service_s)
+        if was_cold:
             self.cold_service_s += EWMA_WEIGHT * (
                 elapsed_s - self.cold_service_s
             )
+        if is_first_rank and self.has_enough_samples:
+            change = (0.0 if was_cold else 1.0) - self.first_rank_warm_share
+            self.first_rank_warm_share += WARM_SHARE_EWMA_WEIGHT * change
 
 
 class ServiceTimes:
--- a/kingcupvane/tests/test_placement.py
+++ b/kingcupvane/tests/test_placement.py
@@ -21,7 +21,10 @@
     rank_targets,
     record_service_time,
 )
-from kingcupvane.request.service_time import ServiceTimeEstimate
+from kingcupvane.request.service_time import (
+    WARM_SAMPLES_MIN,
+    ServiceTimeEstimate,
+)
 from kingcupvane.tests.targets import registered_target
 
 WARM_SERVICE_S = 0.108
@@ -285,3 +288,83 @@
         now=0.0,
     )
     assert candidate.view is ranking[0]
+
+
+def queue_at(view, count):
+    for number in range(count):
+        view.record_start(f"x{number}", 0.0)
+
+
+def choose_with_limit(ranking, *, limit_s, service_time=None):
+    return choose_candidate(
+        ranking,
+        affinity_key="o",
+        usable=None,
+        service_time=service_time or ServiceTimeEstimate(),
+        locality=LOCALITY,
+        size=0,
+        now=0.0,
+        wait_limit_s=lambda candidate: limit_s,
+    )
+
+
+def ranked_views(count=16, slots=2):
+    views = [
+        TargetView(target=registered_target(f"t{i}", slots=slots))
+        for i in range(count)
+    ]
+    return rank_targets(views, ranking_key="o", locality=LOCALITY)
+
+
+# The request was refused although most targets had free slots.
+@pytest.mark.parametrize("full_ranks", [1, 4, 6])
+def test_free_target_is_used_when_the_wait_at_the_first_rank_is_too_long(
+    full_ranks,
+):
+    ranking = ranked_views()
+    ranking[0].record_start("o", 0.0)
+    for view in ranking[:full_ranks]:
+        queue_at(view, 2)
+    candidate = choose_with_limit(ranking, limit_s=0.05)
+    assert candidate.view is ranking[full_ranks]
+    assert candidate.wait_s == 0.0
+
+
+def test_allowed_wait_at_the_warm_target_is_preferred_to_a_cold_one():
+    ranking = ranked_views()
+    ranking[0].record_start("o", 0.0)
+    queue_at(ranking[0], 2)
+    assert choose_with_limit(ranking, limit_s=1.0).view is ranking[0]
+
+
+# Cold work takes several times as long, so it would only lengthen the queues.
+def test_busy_targets_get_no_more_cold_work():
+    ranking = ranked_views(count=4)
+    ranking[0].record_start("o", 0.0)
+    for view in ranking[:3]:
+        queue_at(view, 2)
+    candidate = choose_with_limit(ranking, limit_s=0.05)
+    assert candidate.view is ranking[0]
+    assert candidate.wait_s > 0.05
+
+
+def test_chance_that_others_have_warmed_a_key_is_learned():
+    service_time = ServiceTimeEstimate()
+    for _ in range(WARM_SAMPLES_MIN):
+        service_time.add(is_known_warm=True, elapsed_s=WARM_SERVICE_S)
+    ranking = ranked_views()
+    before = choose_with_limit(ranking, limit_s=1.0, service_time=service_time)
+    for _ in range(60):
+        service_time.add(
+            is_known_warm=False, is_first_rank=True, elapsed_s=WARM_SERVICE_S
+        )
+    after = choose_with_limit(ranking, limit_s=1.0, service_time=service_time)
+    assert after.view is before.view is ranking[0]
+    assert before.expected_latency_s > 2.0 * after.expected_latency_s
+    for _ in range(60):
+        service_time.add(
+            is_known_warm=False,
+            is_first_rank=True,
+            elapsed_s=service_time.cold_service_s,
+        )
+    assert service_time.first_rank_warm_share < 0.1
