Answers that break off during an upload, or bear no valid status, count as broken

Cause: the kernel reports a reset once. While a body is being sent, the sending half may get that report; the reader then finds an end of input, which completes an answer without a length. httpcore ignores a failed write, so the entry always took it; the gateway did when its sending task came first. h11 lets final statuses 600 to 999 through, and both passed them on.

Change: after a failed sending, an end of input is a reset (gateway: _receive; entry: a network backend for httpcore). Final statuses outside 200 to 599 are broken answers in both. An answer without a length that a target ends by closing with the upload unread looks the same on the wire and is broken, too.

--- a/kingcupvane/connection/target_client.py
+++ b/kingcupvane/connection/target_client.py
@@ -15,12 +15,17 @@
 
 from kingcupvane.asgi import Send
 from kingcupvane.connection.bounded_response import add_chunk
+from kingcupvane.connection.reset_detection import ResetDetectingBackend
 from kingcupvane.connection.response_buffer import (
     AnswerTooLargeError,
     PartialResponse,
     ResponseMemoryBudget,
     check_announced_size,
 )
+from kingcupvane.connection.response_status import (
+    InvalidStatusError,
+    check_final_status,
+)
 from kingcupvane.version.items import Target
 
 CONNECTIONS_PER_TARGET = 64
@@ -148,6 +153,7 @@
         """
         self._whole_max_bytes = whole_max_bytes
         self._memory = ResponseMemoryBudget()
+        self._backend = ResetDetectingBackend()
         self._pools_by_address: dict[str, httpcore.AsyncConnectionPool] = {}
 
     async def close(self) -> None:
@@ -197,6 +203,7 @@
             httpcore.ProtocolError,
             httpcore.TimeoutException,
             AnswerTooLargeError,
+            InvalidStatusError,
         ) as error:
             response_started = sink is not None and sink.response_started
             return ExchangeFailure(
@@ -220,6 +227,7 @@
     async def _read(
         self, response: httpcore.Response, sink: ResponseSink | None
     ) -> TargetResponse | ExchangeFailure:
+        check_final_status(response.status)
         headers = [
             (name.lower(), value)
             for name, value in response.headers
@@ -281,6 +289,7 @@
             pool = httpcore.AsyncConnectionPool(
                 max_connections=CONNECTIONS_PER_TARGET,
                 max_keepalive_connections=0,
+                network_backend=self._backend,
             )
             self._pools_by_address[address] = pool
         return pool
--- a/kingcupvane/connection/target_connection.py
+++ b/kingcupvane/connection/target_connection.py
@@ -23,6 +23,10 @@
     PartialResponse,
     ResponseMemoryBudget,
 )
+from kingcupvane.connection.response_status import (
+    InvalidStatusError,
+    check_final_status,
+)
 
 # Most bytes read from a socket at a time.
 RECEIVE_CHUNK_BYTES = 65536
@@ -44,6 +48,9 @@
 RECENTLY_USED_IDLE_MAX_S = 0.7
 # SO_LINGER enabled with a time of 0: closing the socket sends a reset.
 ZERO_LINGER = struct.pack("ii", 1, 0)
+# Scheduler rounds after which an error that the kernel has returned to another
+# task is known: trio hands it over in the round after the call.
+ROUNDS_UNTIL_ERROR_IS_KNOWN = 2
 
 
 class ConnectFailedError(Exception):
@@ -117,6 +124,8 @@
     idle_since: float = 0.0
     idle_max_s: float = DEFAULT_IDLE_MAX_S
     has_carried_refusal: bool = False
+    _is_sending: bool = field(default=False, init=False)
+    _send_failed: bool = field(default=False, init=False)
 
     def is_reusable(self) -> bool:
         """Returns whether no unread bytes and no close have arrived."""
@@ -138,6 +147,7 @@
             trio.ClosedResourceError,
             h11.ProtocolError,
             AnswerTooLargeError,
+            InvalidStatusError,
         ) as error:
             raise ExchangeBrokenError(
                 f"{type(error).__name__}: {error}"
@@ -166,18 +176,9 @@
         """
         response: WireResponse | None = None
         failure: Exception | None = None
-        sent = False
-
-        async def send() -> None:
-            nonlocal sent
-            try:
-                await self.stream.send_all(data)
-                sent = True
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                return  # The reader gets the same error or a response.
-
+        self._is_sending = True
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(send)
+            nursery.start_soon(self._send, data)
             try:
                 response = await self._read()
             except (
@@ -186,15 +187,24 @@
                 trio.ClosedResourceError,
                 h11.ProtocolError,
                 AnswerTooLargeError,
+                InvalidStatusError,
             ) as error:
                 failure = error
             nursery.cancel_scope.cancel()
-        if not sent:
+        if self._is_sending:
             self.idle_max_s = 0.0
         if response is None:
             raise failure or ExchangeBrokenError("the target sent no answer")
         return response
 
+    async def _send(self, data: bytes) -> None:
+        try:
+            await self.stream.send_all(data)
+            self._is_sending = False
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            # The reader learns of it at the end of the input.
+            self._send_failed = True
+
     async def _read(self) -> WireResponse:
         partial = PartialResponse(memory=self.memory)
         try:
@@ -207,9 +217,9 @@
         while True:
             event = self.parser.next_event()
             if event is h11.NEED_DATA:
-                data = await self.stream.receive_some(RECEIVE_CHUNK_BYTES)
-                self.parser.receive_data(bytes(data))
+                self.parser.receive_data(await self._receive())
             elif isinstance(event, h11.Response):
+                check_final_status(event.status_code)
                 partial.set_head(event)
             elif isinstance(event, h11.Data):
                 if partial.add(bytes(event.data)):
@@ -221,6 +231,23 @@
             else:
                 raise ExchangeBrokenError("the target closed the connection")
 
+    async def _receive(self) -> bytes:
+        """Receives bytes; there are none at the end of the input.
+
+        The kernel reports a reset once. If the sending task gets it, a read
+        finds an end of file, which would complete a response without a length.
+
+        Raises:
+            ExchangeBrokenError: The end is that of a reset connection.
+        """
+        data = await self.stream.receive_some(RECEIVE_CHUNK_BYTES)
+        if not data and self._is_sending:
+            for _ in range(ROUNDS_UNTIL_ERROR_IS_KNOWN):
+                await trio.lowlevel.checkpoint()
+            if self._send_failed:
+                raise ExchangeBrokenError("reset while the body was sent")
+        return bytes(data)
+
     def _finish(self, partial: PartialResponse) -> WireResponse:
         response = partial.response
         if response is None:
