--- a/kingcupvane/connection/reset_detection.py
+++ b/kingcupvane/connection/reset_detection.py
@@ -1,4 +1,4 @@
-"""Network backend for httpcore that reports a reset to the reader, too.
+"""Sockets for httpcore that report a reset to the reader, too.
 
 The kernel reports a reset once. If the request is still being written, the
 write gets it; httpcore ignores a failed write and reads the response. That read
@@ -65,12 +65,12 @@
         return self._stream.get_extra_info(info)
 
 
-class ResetDetectingBackend(httpcore.AsyncNetworkBackend):
+class ResetDetectingConnector(httpcore.AsyncNetworkBackend):
     """Opens streams that detect resets."""
 
     def __init__(self) -> None:
-        """Makes a backend on trio's sockets."""
-        self._backend = httpcore.TrioBackend()
+        """Uses the sockets of trio."""
+        self._connector = httpcore.TrioBackend()
 
     async def connect_tcp(
         self,
@@ -86,7 +86,7 @@
             httpcore.ConnectError: The connection failed.
             httpcore.ConnectTimeout: It was not open in time.
         """
-        stream = await self._backend.connect_tcp(
+        stream = await self._connector.connect_tcp(
             host,
             port,
             timeout=timeout,
@@ -97,4 +97,4 @@
 
     async def sleep(self, seconds: float) -> None:
         """Waits between attempts to connect."""
-        await self._backend.sleep(seconds)
+        await self._connector.sleep(seconds)
--- a/kingcupvane/connection/target_client.py
+++ b/kingcupvane/connection/target_client.py
@@ -15,7 +15,7 @@
 
 from kingcupvane.asgi import Send
 from kingcupvane.connection.bounded_response import add_chunk
-from kingcupvane.connection.reset_detection import ResetDetectingBackend
+from kingcupvane.connection.reset_detection import ResetDetectingConnector
 from kingcupvane.connection.response_buffer import (
     AnswerTooLargeError,
     PartialResponse,
@@ -153,7 +153,7 @@
         """
         self._whole_max_bytes = whole_max_bytes
         self._memory = ResponseMemoryBudget()
-        self._backend = ResetDetectingBackend()
+        self._connector = ResetDetectingConnector()
         self._pools_by_address: dict[str, httpcore.AsyncConnectionPool] = {}
 
     async def close(self) -> None:
@@ -289,7 +289,7 @@
             pool = httpcore.AsyncConnectionPool(
                 max_connections=CONNECTIONS_PER_TARGET,
                 max_keepalive_connections=0,
-                network_backend=self._backend,
+                network_backend=self._connector,
             )
             self._pools_by_address[address] = pool
         return pool
