Pipelined requests: a close behind unread bytes is noticed, the end is announced

Cause: (1) A caller's close can't arrive behind pipelined bytes that wait unread with a full window, so a request whose caller had left ran on to its timeout. (2) A response whose head left before a shutdown did not announce the close, and the connection was closed behind it, with requests unread. (3) The arrival time of each received piece was kept until its request's turn, also for the pieces of a body.

Change: (1) bytes that wait unread for 0.2 s past the bound are read and dropped (1 MiB at most), and the response announces the close, so that they count as not read. (2) Only an announced close ends the connection in a shutdown. (3) 64 arrival times are kept.

--- a/kingcupvane/connection/inbound.py
+++ b/kingcupvane/connection/inbound.py
@@ -30,6 +30,14 @@
 DRAIN_TIMEOUT_S = 1.0
 # Bytes of pipelined requests from which no more are read ahead.
 READ_AHEAD_MAX_BYTES = 16384
+# Time that more bytes may wait unread behind those read ahead. A caller's close
+# can't arrive behind them, so they are dropped then and the next response
+# closes the connection, which tells the caller to send them again.
+UNREAD_MAX_S = 0.2
+# Most bytes dropped on a connection.
+DROPPED_MAX_BYTES = 1024 * 1024
+# Most arrival times that are kept of bytes that have not been parsed.
+ARRIVALS_MAX = 64
 # Period of the disconnect check while unread bytes keep the socket readable.
 DISCONNECT_POLL_S = 0.05
 TLS_HANDSHAKE_TIMEOUT_S = 10.0
@@ -105,6 +113,8 @@
         self._received_bytes = 0
         # End offset and arrival time of chunks that may hold unparsed bytes.
         self._chunks: deque[tuple[int, float]] = deque()
+        self._drops_input = False
+        self._dropped_bytes = 0
         self._response_started = False
         self._response_sent = False
         self._connection_lost = False
@@ -201,10 +211,9 @@
         parser = self._parser
         if parser.their_state is h11.SEND_BODY and not await self._drain():
             return False
-        reusable = (
-            parser.our_state is h11.DONE and parser.their_state is h11.DONE
-        )
-        if reusable and not self._state.stop.is_set():
+        if parser.our_state is h11.DONE and parser.their_state is h11.DONE:
+            # Also during shutdown: this response has not announced the close,
+            # the next one will.
             parser.start_next_cycle()
             return True
         if self._stream is self._transport:
@@ -269,17 +278,29 @@
         A pipelined one has waited for the response before it, and the time
         that its caller waits has been running since it arrived.
         """
+        self._forget_parsed_chunks()
+        return self._chunks[0][1] if self._chunks else trio.current_time()
+
+    def _forget_parsed_chunks(self) -> None:
         unparsed_bytes = len(self._parser.trailing_data[0])
         first_byte = self._received_bytes - unparsed_bytes
         while len(self._chunks) > 1 and self._chunks[0][0] <= first_byte:
             self._chunks.popleft()
-        return self._chunks[0][1] if self._chunks else trio.current_time()
 
     def _feed(self, data: bytes) -> None:
-        """Passes received bytes to the parser and notes when they arrived."""
+        """Passes received bytes to the parser and notes when they arrived.
+
+        Bytes that come in too many pieces count as arrived with the last piece
+        that is kept.
+        """
+        if len(self._chunks) >= ARRIVALS_MAX:
+            self._forget_parsed_chunks()
+        arrived_at = trio.current_time()
+        if len(self._chunks) >= ARRIVALS_MAX:
+            arrived_at = self._chunks.pop()[1]
         self._parser.receive_data(data)
         self._received_bytes += len(data)
-        self._chunks.append((self._received_bytes, trio.current_time()))
+        self._chunks.append((self._received_bytes, arrived_at))
 
     async def _receive_first_bytes(self, deadline: float) -> bytes | None:
         """Returns received bytes, which are empty once the caller has closed.
@@ -341,17 +362,35 @@
 
         Read ahead are `READ_AHEAD_MAX_BYTES` and what one call may add to them.
         """
+        unread_since: float | None = None
         while True:
             await trio.lowlevel.wait_readable(self._transport.socket)
             if self.is_disconnected():
                 return
-            if len(self._parser.trailing_data[0]) >= READ_AHEAD_MAX_BYTES:
+            is_full = len(self._parser.trailing_data[0]) >= READ_AHEAD_MAX_BYTES
+            if is_full and unread_since is None:
+                unread_since = trio.current_time()
+            if is_full and not self._may_drop(unread_since):
                 await trio.sleep(DISCONNECT_POLL_S)
                 continue
+            # Before the read, since the response may be sent meanwhile.
+            self._drops_input = is_full
             data = await self._stream.receive_some(READ_AHEAD_MAX_BYTES)
             if not data:
                 return
-            self._feed(bytes(data))
+            if is_full:
+                self._dropped_bytes += len(data)
+            else:
+                self._feed(bytes(data))
+
+    def _may_drop(self, unread_since: float) -> bool:
+        """Returns whether pipelined bytes may be read and dropped.
+
+        The response must still be able to announce the connection's close.
+        """
+        if self._response_started or self._dropped_bytes >= DROPPED_MAX_BYTES:
+            return False
+        return trio.current_time() - unread_since >= UNREAD_MAX_S
 
     async def _send(self, message: dict[str, Any]) -> None:
         """Implements ASGI `send`; the head is sent with the first body part."""
@@ -375,7 +414,7 @@
 
     def _make_response(self, start: dict[str, Any]) -> h11.Response:
         headers = list(start.get("headers", []))
-        if self._state.stop.is_set():
+        if self._state.stop.is_set() or self._drops_input:
             headers.append((b"connection", b"close"))
         self._status = int(start["status"])
         return h11.Response(status_code=self._status, headers=headers)
