Look-ups at starting gateways wait for a ready one

Cause: when all gateways start at once, as after a loss of power, none is ready until it has a plan and 0.6 s have passed without a report of a peer. Until then each look-up was refused with 503, at every gateway that a caller tried.

Change: up to 0.75 s after its start, a gateway that knows of no ready one holds a look-up until it does (callers allow a second for it).

--- a/kingcupvane/connection/endpoints.py
+++ b/kingcupvane/connection/endpoints.py
@@ -1,6 +1,6 @@
 """Auxiliary HTTP endpoints of a gateway: readiness, look-ups, metrics."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from http import HTTPStatus
 from urllib.parse import parse_qs
 
@@ -18,6 +18,9 @@
 from kingcupvane.request.gateway_request import WireNames
 from kingcupvane.settings import GatewaySettings
 
+# Period of the check for a ready gateway while look-ups wait for one.
+READY_POLL_S = 0.02
+
 
 class Endpoints:
     """Serves readiness checks, look-ups and metrics, each on its own port."""
@@ -31,6 +34,7 @@
         metrics: MetricSet,
         update_gauges: Callable[[], None],
         is_ready: Callable[[], bool],
+        wait_until: float,
         stop: trio.Event,
         clock: Clock,
     ):
@@ -43,6 +47,8 @@
             metrics: Metrics to expose.
             update_gauges: Sets the gauges to the present state.
             is_ready: Returns whether callers may be sent to this gateway.
+            wait_until: Monotonic time until which look-ups wait for a ready
+                gateway: when all gateways start at once, none is at first.
             stop: Stops all endpoints once set.
             clock: Monotonic clock.
         """
@@ -52,6 +58,7 @@
         self._metrics = metrics
         self._update_gauges = update_gauges
         self._is_ready = is_ready
+        self._wait_until = wait_until
         self._stop = stop
         self._clock = clock
 
@@ -92,13 +99,10 @@
             await asgi.HttpResponse(status=HTTPStatus.NOT_FOUND).send(send)
             return
         query = parse_qs(request.query)
-        addresses = lookup_addresses(
-            self._peers,
-            region=query.get(self._names.lookup_region, [""])[0],
-            data_centre=query.get(self._names.lookup_data_centre, [""])[0],
-            own_ready=self._is_ready(),
-            now=self._clock.now(),
-        )
+        addresses = self._find_addresses(query)
+        while not addresses and self._clock.now() < self._wait_until:
+            await trio.sleep(READY_POLL_S)
+            addresses = self._find_addresses(query)
         if not addresses:
             await asgi.HttpResponse(status=HTTPStatus.SERVICE_UNAVAILABLE).send(
                 send
@@ -110,6 +114,15 @@
         }
         await asgi.json_response(body).send(send)
 
+    def _find_addresses(self, query: Mapping[str, list[str]]) -> list[str]:
+        return lookup_addresses(
+            self._peers,
+            region=query.get(self._names.lookup_region, [""])[0],
+            data_centre=query.get(self._names.lookup_data_centre, [""])[0],
+            own_ready=self._is_ready(),
+            now=self._clock.now(),
+        )
+
     async def _answer_metrics(
         self, request: asgi.HttpRequest, send: asgi.Send
     ) -> None:
--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -68,6 +68,9 @@
 # Time after a restart for which a gateway waits for the first report of a peer
 # before it is ready, in seconds: three periods of reports.
 RECOVERY_MAX_S = 0.6
+# Time after a start for which look-ups wait until a gateway is ready, in
+# seconds; callers allow one second for a look-up.
+LOOKUP_WAIT_MAX_S = RECOVERY_MAX_S + 0.15
 # Time after SIGTERM from which no new connections are accepted, in seconds.
 STOP_ACCEPT_MAX_S = 3.0
 # Time after SIGTERM from which a request is refused unless its deadline lies
@@ -292,6 +295,7 @@
             metrics=self._metrics,
             update_gauges=self._update_gauges,
             is_ready=self._is_ready,
+            wait_until=self._started_at + LOOKUP_WAIT_MAX_S,
             stop=self._stop,
             clock=self._clock,
         )
