Pace of targets that start or recover: found from their answers

Cause: slow_start.py gave a cold target a fixed rate, whatever it answered, and then let all gateways send at once; after an ejection likewise. Change: request/pace.py has one state for each process of a target that is not settled (a table), a limit that rises with good answers and falls with bad ones, and reports between gateways for such targets only. While cold the bound holds without messages: three gateways, first those of its region.

--- a/kingcupvane/connection/messages.py
+++ b/kingcupvane/connection/messages.py
@@ -13,6 +13,7 @@
 from kingcupvane.process.item import Item
 from kingcupvane.request.announcements import TargetInstance
 from kingcupvane.request.crashes import SuspicionNotice
+from kingcupvane.request.pace import PaceReport
 from kingcupvane.request.rate_limit import AccountUsage
 from kingcupvane.version.canary_analysis import Tally
 from kingcupvane.version.move import MoveState
@@ -404,6 +405,7 @@
             requests are counted since the source's start.
         demand: Requests a second from its callers, by service.
         in_flight: Requests of its gateways in flight, by target.
+        paces: What they know of the pace of targets that are not settled.
     """
 
     data_centre: str
@@ -415,6 +417,7 @@
     use: dict[str, AccountUsage]
     demand: dict[str, float]
     in_flight: dict[str, int] = {}
+    paces: list[PaceReport] = []
 
 
 class GatewayReport(
@@ -434,6 +437,8 @@
             centre.
         demand: Requests a second from its callers, by service.
         in_flight: Its requests in flight, by target.
+        paces: What it knows of the pace of targets that are not settled; sent
+            only within the data centre.
         crashes: Requests that crash targets or are cleared of it.
         leaving: Registered targets that have announced their stop.
         states: States of the known rollouts.
@@ -454,6 +459,7 @@
     use: dict[str, AccountUsage] = {}
     demand: dict[str, float] = {}
     in_flight: dict[str, int] = {}
+    paces: list[PaceReport] = []
     crashes: list[SuspicionNotice] = []
     leaving: list[TargetInstance] = []
     states: list[MoveState] = []
--- a/kingcupvane/process/catalog.py
+++ b/kingcupvane/process/catalog.py
@@ -4,6 +4,7 @@
 them. A plan is never replaced by an older one.
 """
 
+import random
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -15,6 +16,7 @@
     TargetInstance,
     instance_of,
 )
+from kingcupvane.request.pace import ColdBound, TargetPacer
 from kingcupvane.request.peer_requests import PeerRequests
 from kingcupvane.request.placement import (
     BULK_BYTES,
@@ -24,7 +26,6 @@
 )
 from kingcupvane.request.quota import DemandEstimator, DistributedQuota
 from kingcupvane.request.service_time import ServiceTimes
-from kingcupvane.request.slow_start import SlowStartLimiter
 from kingcupvane.request.spillover import (
     RegionLoad,
     SpilloverController,
@@ -147,7 +148,8 @@
         rollout_records_by_service: Rollout records in the store.
         rollout_checkpoints_by_service: Stored checkpoints of rollouts.
         service_times: Estimated service times of requests.
-        slow_start: Limits the rate of requests to cold targets.
+        pace: Limits the requests to targets that have just started or come
+            back.
         target_limits: Rate limits that targets have named.
         peer_requests: Requests of other gateways in flight at the targets.
     """
@@ -160,6 +162,7 @@
         quota: DistributedQuota,
         clock: Clock,
         timeline: Timeline,
+        cold_bound: ColdBound | None = None,
     ):
         """Makes an empty catalog.
 
@@ -169,6 +172,8 @@
             quota: Divides the targets' rate limits among the gateways.
             clock: Monotonic clock.
             timeline: Log of changes.
+            cold_bound: Bound of the requests to a cold target; by default
+                that of the settings' defaults.
         """
         self._clock = clock
         self._timeline = timeline
@@ -179,7 +184,13 @@
         self.rollout_records_by_service: dict[str, RolloutRecord] = {}
         self.rollout_checkpoints_by_service: dict[str, RolloutCheckpoint] = {}
         self.service_times = ServiceTimes()
-        self.slow_start = SlowStartLimiter(name=name)
+        self.pace = TargetPacer(
+            name=name,
+            bound=cold_bound or ColdBound(),
+            draw=random.random,
+            cold_rate=self.cold_rate,
+            log_event=timeline.record,
+        )
         self.target_limits = TargetLimits(
             quota=quota, log_event=timeline.record
         )
@@ -326,6 +337,11 @@
             for service, views in self._views_by_service.items()
         }
 
+    def pace_counts(self) -> dict[str, int]:
+        """Returns the number of targets by the state of their pace."""
+        counts = self.pace.counts(len(self._views_by_name))
+        return {state.value: count for state, count in counts.items()}
+
     def leaving_counts(self) -> dict[str, int]:
         """Returns the number of leaving targets by service."""
         return {
@@ -486,11 +502,13 @@
             self._apply_target_removal(name)
             return
         self._removed_at_by_name.pop(name, None)
-        self.slow_start.mark_cold(
-            name, left_s=target.cold_left_s, now=self._clock.now()
-        )
+        now = self._clock.now()
         view = self._views_by_name.get(name)
-        if view is not None and _is_same_instance(view.target, target):
+        is_known = view is not None and _is_same_instance(view.target, target)
+        if not is_known:
+            self.pace.see(target, now)
+        self.pace.mark_cold(target, left_s=target.cold_left_s, now=now)
+        if is_known:
             if view.target.leaving != target.leaving:
                 self._timeline.record(
                     "target-state", target=name, leaving=target.leaving
@@ -530,7 +548,7 @@
         self._removed_at_by_name.pop(name, None)
         view = self._views_by_name.pop(name, None)
         if view is not None:
-            self.slow_start.remove_targets([name])
+            self.pace.remove_target(name)
             self._reindex({view.target.service})
             self._timeline.record("target-gone", target=name)
 
@@ -551,9 +569,7 @@
             target = view.target
             service = self.plan.services_by_name.get(target.service)
             if target.data_centre == data_centre and service is not None:
-                self.slow_start.mark_cold(
-                    target.name, left_s=service.cold_s, now=now
-                )
+                self.pace.mark_cold(target, left_s=service.cold_s, now=now)
 
     def _reindex(self, services: set[str]) -> None:
         """Rebuilds the lists of targets of the given services."""
--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -34,7 +34,7 @@
 from kingcupvane.process.logs import LogBuffer, RequestLog
 from kingcupvane.process.metrics import GatewayMetrics
 from kingcupvane.process.mirror import Mirror
-from kingcupvane.process.peering import PeerTable, advertised_names
+from kingcupvane.process.peering import PeerTable, advertised_records
 from kingcupvane.process.replication import (
     LEASE_TTL_PER_CONTACT_TIMEOUT,
     GatewayRegistration,
@@ -48,6 +48,7 @@
 from kingcupvane.process.timeline import HybridClock, Timeline
 from kingcupvane.request.crashes import CrashRegistry
 from kingcupvane.request.gateway_request import WireNames
+from kingcupvane.request.pace import ColdBound, PacingGateway
 from kingcupvane.request.pipeline import RequestPipeline, Shutdown
 from kingcupvane.request.placement import Locality
 from kingcupvane.request.quota import DistributedQuota
@@ -171,13 +172,15 @@
             quota=self._quota,
             clock=self._clock,
             timeline=self._timeline,
+            cold_bound=ColdBound(
+                excess=settings.cold_excess, extra=settings.cold_extra
+            ),
         )
         self._retry_settings = RetrySettings()
         self._crashes = CrashRegistry(settings=self._retry_settings)
         self._rollout_states = RolloutStates()
         self._evidence = EvidenceCounter()
         self._tracked_rollouts = TrackedRollouts()
-        self._advertised_gateways: list[str] = [settings.name]
         self._logged_retries: dict[tuple[str, str], int] = {}
 
     def _create_connections(self) -> None:
@@ -315,7 +318,6 @@
         selector = TargetSelector(
             catalog=self._catalog,
             rollout_states=self._rollout_states,
-            gateways=lambda: self._advertised_gateways,
         )
         sender = TargetSender(
             catalog=self._catalog,
@@ -445,12 +447,8 @@
         last_slow_housekeeping_at = 0.0
         while True:
             now = self._clock.now()
-            self._advertised_gateways = advertised_names(
-                self._peers,
-                own_ready=self._is_ready(),
-                registered=self._known_fleet.registered(),
-                now=now,
-            )
+            self._catalog.pace.update_fleet(self._pacing_gateways(now), now)
+            self._catalog.pace.advance(now)
             for name in self._peers.remove_expired(now):
                 self._reporter.remove_gateway(name)
                 self._timeline.record("gateway-forgotten", name=name)
@@ -479,6 +477,24 @@
                 self._log_retries(now)
             await trio.sleep(HOUSEKEEPING_PERIOD_S)
 
+    def _pacing_gateways(self, now: float) -> list[PacingGateway]:
+        """Returns the advertised gateways of all data centres."""
+        records = advertised_records(
+            self._peers,
+            own_ready=self._is_ready(),
+            registered=self._known_fleet.registered(),
+            now=now,
+        )
+        heard = {self._settings.name, *self._peers.live_names(now)}
+        return [
+            PacingGateway(
+                name=record.name,
+                region=record.region,
+                is_heard=record.name in heard,
+            )
+            for record in records
+        ]
+
     def _log_retries(self, now: float) -> None:
         """Logs the retries since the last call, by service and payment."""
         counts = self._retry_budgets.counts()
@@ -532,6 +548,8 @@
             metrics.targets_leaving.set({"service": service}, count)
         for service, count in self._catalog.deferred_counts().items():
             metrics.targets_deferred.set({"service": service}, count)
+        for state, count in self._catalog.pace_counts().items():
+            metrics.targets_pace.set({"state": state}, count)
         for account, tokens in self._quota.tokens_by_account().items():
             if account in self._catalog.plan.accounts_by_name:
                 metrics.quota_left.set({"account": account}, round(tokens, 1))
--- a/kingcupvane/process/metrics.py
+++ b/kingcupvane/process/metrics.py
@@ -133,6 +133,10 @@
             "kingcupvane_targets_deferred",
             "Targets that asked this gateway to wait, by service.",
         )
+        self.targets_pace = self._gauge(
+            "kingcupvane_targets_pace",
+            "Registered targets by the state of their pace.",
+        )
         self.targets_limited = self._gauge(
             "kingcupvane_targets_limited",
             "Targets that name a limit of their own, by service.",
--- a/kingcupvane/process/peering.py
+++ b/kingcupvane/process/peering.py
@@ -470,14 +470,14 @@
     return wide if len(wide) >= WIDE_LINK_GATEWAYS_MIN else ordered
 
 
-def advertised_names(
+def advertised_records(
     table: PeerTable,
     *,
     own_ready: bool,
     registered: Iterable[GatewayRecord] = (),
     now: float,
-) -> list[str]:
-    """Returns the sorted names of the advertised gateways of all data centres.
+) -> list[GatewayRecord]:
+    """Returns the advertised gateways of all data centres, sorted by name.
 
     Gateways that are registered in the store but not live here are taken for
     ready: they may serve callers unheard.
@@ -495,9 +495,12 @@
     for record in chain(ready, unheard):
         records_by_data_centre.setdefault(record.data_centre, []).append(record)
     return sorted(
-        record.name
-        for records in records_by_data_centre.values()
-        for record in advertised_gateways(records)
+        (
+            record
+            for records in records_by_data_centre.values()
+            for record in advertised_gateways(records)
+        ),
+        key=lambda record: record.name,
     )
 
 
--- a/kingcupvane/process/reporting.py
+++ b/kingcupvane/process/reporting.py
@@ -223,6 +223,7 @@
             use=self._quota.usage_by_account(now) if local else {},
             demand=self._catalog.demand() if local else {},
             in_flight=self._catalog.in_flight() if local else {},
+            paces=self._catalog.pace.reports() if local else [],
             crashes=self._crashes.snapshot(now),
             leaving=self._catalog.announced_leaving(),
             states=list(self._rollout_states.states_by_name.values()),
@@ -296,6 +297,7 @@
             self._catalog.peer_requests.update(
                 sender.name, report.in_flight, now
             )
+            self._catalog.pace.merge(report.paces, now)
             self._quota.update_peer(
                 sender.name,
                 report.use,
@@ -352,6 +354,7 @@
             summary.in_flight,
             now,
         )
+        self._catalog.pace.merge(summary.paces, now)
         self._quota.update_peer(
             DATA_CENTRE_PEER_NAME.format(summary.data_centre),
             summary.use,
--- a/kingcupvane/process/summary.py
+++ b/kingcupvane/process/summary.py
@@ -9,6 +9,7 @@
     MemberStatus,
     Stamp,
 )
+from kingcupvane.request.pace import merge_reports
 from kingcupvane.request.rate_limit import AccountUsage
 
 
@@ -132,6 +133,7 @@
         use=totals.usage_by_account(report.use for report in reports),
         demand=demand_by_service,
         in_flight=in_flight_by_target,
+        paces=merge_reports(report.paces for report in reports),
     )
 
 
--- /dev/null
+++ b/kingcupvane/request/pace.py
@@ -0,0 +1,725 @@
+"""Pace of targets that have just started or recovered, found by their answers.
+
+Load pattern: a target that has just started or come back tolerates only a few
+requests a second from all gateways together, and crashes well above that. When
+its cold phase ends, or a failure is over, many gateways see it idle at the same
+moment and would fill its queue. So an unsettled target has a limit of its own:
+while it is cold, a rate that a few gateways share, which all gateways determine
+alike by rendezvous hashing; later, a number of requests in flight that is
+divided among all gateways, and a chance for others to send one beyond it. They
+rise with good answers and fall with bad ones.
+
+A settled target has no entry here and no limit. The bound of a cold target
+holds without messages: a gateway never sends it more than a share that fits
+twice into the bound, as that of one that took its place unknown to it.
+Cold and warm refer to the whole target here, but to one affinity key at a
+target in `placement`.
+"""
+
+import enum
+import math
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+import msgspec
+
+from kingcupvane.request.load_balancing import rendezvous_rank
+from kingcupvane.request.placement import (
+    AttemptOutcome,
+    ReportedLoad,
+    TargetView,
+)
+from kingcupvane.request.token_bucket import TokenBucket
+from kingcupvane.version.plan import RegisteredTarget
+
+# Gateways that may send requests to one cold target. Each of them may send one
+# request at any moment, whatever its rate, so that few can share a higher rate.
+SENDERS_PER_COLD_TARGET = 3
+# Fraction of the tolerated rate that they use together before any answer.
+COLD_RATE_SHARE = 0.6
+# Fraction of the bound that is used, as requests may be delayed on their way
+# and then arrive closer together than they were sent.
+COLD_BOUND_SHARE = 0.95
+# Time for which the bound is kept after the cold phase, in seconds.
+COLD_MARGIN_S = 0.3
+# Time for which a gateway that has just started sends nothing to cold targets,
+# in seconds: the requests of its process before may have just arrived.
+RESTART_PAUSE_S = 1.0
+# Time for which the senders of a target must have been the same, and heard of,
+# for a rate above the one before any answer, in seconds: longer than it takes
+# a gateway that is cut off to notice that.
+SENDERS_STABLE_S = 3.0
+# Requests that may wait at a target that is not settled.
+QUEUE_MAX = 1.0
+# Level at which the limit of a target that is no longer cold ends.
+OPEN_LEVEL = 3
+# Shortest time between two changes of a limit, in seconds: a report between
+# gateways takes about as long.
+STEP_S = 0.25
+# The same without answers, in seconds, while the target is not cold.
+BLIND_STEP_S = 0.5
+# Time without bad answers after which a limit that fell may rise, in seconds.
+QUIET_S = 0.5
+# Longest ramp of a target that is no longer cold, in seconds.
+RAMP_MAX_S = 4.0
+# Bounds of the level of a limit; one level halves or doubles it. A cold target
+# gets no less than the rate before any answer: its plan calls that bearable.
+LEVEL_MIN = -2
+LEVEL_MIN_COLD = 0
+LEVEL_MAX = 16
+# Factor on the expected time of an exchange up to which it isn't late even if
+# it misses the objective: the service may not be able to meet that.
+LATE_FACTOR = 1.5
+# Reports of a target since its start up to which it has just started.
+NEW_SEQUENCE_MAX = 3
+# Time for which a service must be known before further targets are taken for
+# new, in seconds; the first listing after a start shows all of them at once.
+SERVICE_KNOWN_S = 3.0
+
+
+class PaceState(enum.StrEnum):
+    """What is known of the pace of a target's process.
+
+    Attributes:
+        UNKNOWN: Not classified yet.
+        RAMPING: Its limit rises.
+        BACKING_OFF: Its limit fell or it was ejected; it rises no further
+            until a good answer.
+        SETTLED: It has no limit.
+    """
+
+    UNKNOWN = "unknown"
+    RAMPING = "ramping"
+    BACKING_OFF = "backing_off"
+    SETTLED = "settled"
+
+
+class PaceEvent(enum.StrEnum):
+    """What happens to a target's pace.
+
+    Attributes:
+        SEEN_OLD: It registers here, but has been up for long.
+        SEEN_NEW: It registers soon after its start.
+        TURNED_COLD: It is cold.
+        GOOD: It answered well, here or at another gateway.
+        BAD: It shed, answered late under load or failed, here or elsewhere.
+        EJECTED: This gateway has stopped using it after failures.
+        QUIET: No bad answer for some time.
+        OPEN: Its limit no longer binds any gateway.
+    """
+
+    SEEN_OLD = "seen_old"
+    SEEN_NEW = "seen_new"
+    TURNED_COLD = "turned_cold"
+    GOOD = "good"
+    BAD = "bad"
+    EJECTED = "ejected"
+    QUIET = "quiet"
+    OPEN = "open"
+
+
+# The next state by state and event; events that are left out change nothing.
+NEXT_STATES: Mapping[PaceState, Mapping[PaceEvent, PaceState]] = {
+    PaceState.UNKNOWN: {
+        PaceEvent.SEEN_OLD: PaceState.SETTLED,
+        PaceEvent.SEEN_NEW: PaceState.RAMPING,
+        PaceEvent.TURNED_COLD: PaceState.RAMPING,
+        PaceEvent.EJECTED: PaceState.BACKING_OFF,
+    },
+    PaceState.RAMPING: {
+        PaceEvent.BAD: PaceState.BACKING_OFF,
+        PaceEvent.EJECTED: PaceState.BACKING_OFF,
+        PaceEvent.OPEN: PaceState.SETTLED,
+    },
+    PaceState.BACKING_OFF: {
+        PaceEvent.GOOD: PaceState.RAMPING,
+        PaceEvent.QUIET: PaceState.RAMPING,
+    },
+    PaceState.SETTLED: {
+        PaceEvent.TURNED_COLD: PaceState.RAMPING,
+        PaceEvent.EJECTED: PaceState.BACKING_OFF,
+    },
+}
+
+
+def next_state(state: PaceState, event: PaceEvent) -> PaceState:
+    """Returns the state of a target's pace after an event."""
+    return NEXT_STATES[state].get(event, state)
+
+
+class PaceReport(msgspec.Struct, frozen=True, array_like=True):
+    """What a gateway knows of the pace of an unsettled target.
+
+    Of two reports on the same phase of a process, the one with more falls
+    holds, then the one with the higher level. So gateways agree in whatever
+    order they hear of each other.
+
+    Attributes:
+        target: Name of the target.
+        started_ms: Start time of its process, in Unix milliseconds.
+        is_cold: Whether it is in its cold phase.
+        falls: How often its limit fell in this phase.
+        level: Its limit, as a power of two of the one at the phase's start.
+    """
+
+    target: str
+    started_ms: int
+    is_cold: bool
+    falls: int
+    level: int
+
+
+def merge_reports(
+    reports: Iterable[Iterable[PaceReport]],
+) -> list[PaceReport]:
+    """Returns the report that holds for each phase of each process."""
+    best: dict[tuple[str, int, bool], PaceReport] = {}
+    for report in (one for several in reports for one in several):
+        key = (report.target, report.started_ms, report.is_cold)
+        known = best.get(key)
+        if known is None or _rank_of(report) > _rank_of(known):
+            best[key] = report
+    return list(best.values())
+
+
+def _rank_of(report: PaceReport) -> tuple[int, int]:
+    return (report.falls, report.level)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ColdBound:
+    """Requests that a cold target may get in any second, from all gateways.
+
+    Attributes:
+        excess: Factor on the rate that it tolerates.
+        extra: Requests beyond that.
+    """
+
+    excess: float = 1.5
+    extra: float = 5.0
+
+    def first_share(self, rate: float) -> float:
+        """Returns a sender's rate before any answer, in requests a second."""
+        return COLD_RATE_SHARE * rate / SENDERS_PER_COLD_TARGET
+
+    def largest_share(self, rate: float) -> float:
+        """Returns the highest rate of a sender, in requests a second.
+
+        In one second a sender sends one request more than its rate. The bound
+        holds while the senders use this rate, and as many that they don't hear
+        of use the rate before any answer.
+
+        Args:
+            rate: Requests a second that the target tolerates while cold.
+        """
+        bound = COLD_BOUND_SHARE * (self.excess * rate + self.extra)
+        first = self.first_share(rate)
+        unheard = SENDERS_PER_COLD_TARGET * (first + 1.0)
+        largest = (bound - unheard) / SENDERS_PER_COLD_TARGET - 1.0
+        return max(first, largest)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PacingGateway:
+    """An advertised gateway.
+
+    Attributes:
+        name: Its name.
+        region: Its region.
+        is_heard: Whether its reports reach this gateway.
+    """
+
+    name: str
+    region: str
+    is_heard: bool
+
+
+@dataclass(kw_only=True, slots=True)
+class _TargetPace:
+    """Pace of one process of a target that is not settled.
+
+    Attributes:
+        target: Its registration.
+        state: State of its pace.
+        is_cold: Whether it was cold at the last look.
+        cold_until: Monotonic end of its cold phase, in seconds.
+        is_own: Whether only this gateway limits it, after an ejection.
+        is_probed: Whether it gets single requests until a good answer.
+        falls: How often the limit fell in this phase.
+        level: The limit, as a power of two of the one at the phase's start.
+        extra: Requests beyond this gateway's part, earned by own good answers.
+        has_good: Whether a good answer came since the last change of the limit.
+        began_at: Monotonic start of the phase, in seconds.
+        stepped_at: Monotonic time of the last change of the limit.
+        bad_at: Monotonic time of the last bad answer.
+        ranking: Names of the advertised gateways, first senders first.
+        senders_since: Monotonic time from which the senders are the same.
+        bucket: Limits this gateway's rate while the target is cold.
+    """
+
+    target: RegisteredTarget
+    state: PaceState = PaceState.UNKNOWN
+    is_cold: bool = False
+    cold_until: float = -math.inf
+    is_own: bool = False
+    is_probed: bool = False
+    falls: int = 0
+    level: int = 0
+    extra: int = 0
+    has_good: bool = False
+    began_at: float = -math.inf
+    stepped_at: float = -math.inf
+    bad_at: float = -math.inf
+    ranking: list[str] = field(default_factory=list)
+    senders_since: float = -math.inf
+    bucket: TokenBucket | None = None
+
+    def begin_phase(self, now: float, *, level: int = 0) -> None:
+        """Starts a phase with its first limit."""
+        self.falls = 0
+        self.level = level
+        self.extra = 0
+        self.has_good = False
+        self.began_at = now
+        self.stepped_at = now
+
+    def rise(self, now: float) -> None:
+        """Doubles the limit."""
+        self.level = min(LEVEL_MAX, self.level + 1)
+        self.has_good = False
+        self.stepped_at = now
+
+    def fall(self, now: float) -> None:
+        """Halves the limit, but not again before the effect can be seen."""
+        self.bad_at = now
+        self.extra = 0
+        self.has_good = False
+        if now - self.stepped_at < STEP_S and self.falls:
+            return
+        self.falls += 1
+        floor = LEVEL_MIN_COLD if self.is_cold else LEVEL_MIN
+        self.level = max(floor, self.level - 1)
+        self.stepped_at = now
+
+
+class TargetPacer:
+    """Limits the requests of one gateway to targets that are not settled.
+
+    It does no I/O. A target has an entry only while it is not settled.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        bound: ColdBound,
+        draw: Callable[[], float],
+        cold_rate: Callable[[str], float],
+        log_event: Callable[..., None],
+    ):
+        """Starts without targets and without known gateways.
+
+        Args:
+            name: Name of this gateway.
+            bound: Bound of the requests to a cold target.
+            draw: Returns a random number from 0 to 1.
+            cold_rate: Returns the requests a second that a cold target of a
+                service tolerates.
+            log_event: Logs an event; takes its kind and fields.
+        """
+        self._name = name
+        self._bound = bound
+        self._draw = draw
+        self._cold_rate = cold_rate
+        self._log_event = log_event
+        self._paces_by_target: dict[str, _TargetPace] = {}
+        self._service_seen_at: dict[str, float] = {}
+        self._fleet: tuple[PacingGateway, ...] = ()
+        self._fleet_changed_at = -math.inf
+        self._sends_cold_from = math.inf
+
+    def update_fleet(self, fleet: Sequence[PacingGateway], now: float) -> None:
+        """Sets the advertised gateways; none is taken for unknown.
+
+        Args:
+            fleet: All advertised gateways as this one knows them.
+            now: Monotonic seconds.
+        """
+        fleet = tuple(fleet)
+        if fleet != self._fleet:
+            if self._sends_cold_from == math.inf:
+                self._sends_cold_from = now + RESTART_PAUSE_S
+            self._fleet = fleet
+            self._fleet_changed_at = now
+            for pace in self._paces_by_target.values():
+                self._rank(pace, changed_at=now)
+
+    def see(self, target: RegisteredTarget, now: float) -> None:
+        """Classifies a process of a target that registers here.
+
+        Args:
+            target: Its registration.
+            now: Monotonic seconds.
+        """
+        known = self._paces_by_target.get(target.name)
+        if known is not None and known.target.started_ms != target.started_ms:
+            del self._paces_by_target[target.name]
+        seen_at = self._service_seen_at.setdefault(target.service, now)
+        is_new = (
+            now - seen_at > SERVICE_KNOWN_S
+            and target.sequence <= NEW_SEQUENCE_MAX
+        )
+        event = PaceEvent.SEEN_NEW if is_new else PaceEvent.SEEN_OLD
+        if next_state(PaceState.UNKNOWN, event) is PaceState.SETTLED:
+            return
+        pace = self._entry(target, state=PaceState.UNKNOWN)
+        if pace.state is PaceState.UNKNOWN:
+            pace.begin_phase(now)
+            self._apply(pace, event)
+
+    def mark_cold(
+        self, target: RegisteredTarget, *, left_s: float, now: float
+    ) -> None:
+        """Marks a target as cold for some time; never shortens that time.
+
+        Args:
+            target: Its registration.
+            left_s: Remaining time of its cold phase, in seconds.
+            now: Monotonic seconds.
+        """
+        if left_s <= 0.0:
+            return
+        pace = self._entry(target)
+        pace.cold_until = max(pace.cold_until, now + left_s + COLD_MARGIN_S)
+        if not pace.is_cold:
+            pace.is_cold = True
+            pace.is_own = False
+            pace.begin_phase(now)
+            self._apply(pace, PaceEvent.TURNED_COLD)
+
+    def is_cold(self, target: str, now: float) -> bool:
+        """Returns whether a target is cold."""
+        pace = self._paces_by_target.get(target)
+        return pace is not None and now < pace.cold_until
+
+    def may_use(self, view: TargetView, now: float) -> bool:
+        """Returns whether this gateway may send a request to a target now."""
+        pace = self._paces_by_target.get(view.target.name)
+        if pace is None:
+            return True
+        self._advance(pace, now)
+        if pace.state is PaceState.SETTLED:
+            return True
+        if pace.is_probed and view.in_flight >= 1:
+            return False
+        room = view.target.slots - view.load(now)
+        if view.in_flight and room <= -QUEUE_MAX:
+            return False
+        if self._is_rate_limited(pace):
+            return self._may_send_cold(pace, now)
+        if view.in_flight < self._concurrency_max(pace):
+            return True
+        if room < 1.0 or pace.is_own:
+            return False
+        return self._draw() < 2.0 ** (pace.level - OPEN_LEVEL)
+
+    def record_request(self, target: str, now: float) -> None:
+        """Records a request that is sent to a target."""
+        pace = self._paces_by_target.get(target)
+        if pace is not None and self._is_rate_limited(pace):
+            self._bucket(pace, now).try_acquire(now)
+
+    def record_outcome(
+        self,
+        target: RegisteredTarget,
+        outcome: AttemptOutcome,
+        *,
+        elapsed_s: float,
+        objective_s: float,
+        expected_s: float,
+        reported: ReportedLoad | None,
+        ejected: bool,
+        now: float,
+    ) -> None:
+        """Learns from the outcome of a request.
+
+        Args:
+            target: The target.
+            outcome: How the exchange ended.
+            elapsed_s: Measured time of the exchange, in seconds.
+            objective_s: Time within which the answer is wanted, in seconds.
+            expected_s: Time that the exchange was expected to take, in seconds.
+            reported: Load that the target reported, if any.
+            ejected: Whether this outcome ejected the target.
+            now: Monotonic seconds.
+        """
+        if ejected:
+            self._eject(target, now)
+            return
+        pace = self._paces_by_target.get(target.name)
+        if pace is None:
+            return
+        self._advance(pace, now)
+        match outcome:
+            case AttemptOutcome.ANSWERED:
+                # Slowness without a queue isn't mended by less load.
+                has_room = reported is not None and reported.waiting == 0
+                wanted_s = max(objective_s, LATE_FACTOR * expected_s)
+                if has_room or elapsed_s <= wanted_s:
+                    pace.extra += has_room
+                    self._hear_good(pace, now)
+                else:
+                    self._hear_bad(pace, now)
+            case AttemptOutcome.SHED | AttemptOutcome.FAILED:
+                self._hear_bad(pace, now)
+            case AttemptOutcome.BROKEN | AttemptOutcome.TIMEOUT:
+                self._hear_bad(pace, now)
+
+    def reports(self) -> list[PaceReport]:
+        """Returns what other gateways may use: no ejections, which are own."""
+        return [
+            PaceReport(
+                name,
+                pace.target.started_ms,
+                pace.is_cold,
+                pace.falls,
+                pace.level,
+            )
+            for name, pace in self._paces_by_target.items()
+            if not pace.is_own
+        ]
+
+    def merge(self, reports: Iterable[PaceReport], now: float) -> None:
+        """Learns what other gateways know, if it tells more.
+
+        Reports on targets that are settled here are ignored.
+        """
+        for report in reports:
+            pace = self._paces_by_target.get(report.target)
+            if pace is None or pace.is_own:
+                continue
+            self._advance(pace, now)
+            own = (pace.target.started_ms, pace.is_cold)
+            if (report.started_ms, report.is_cold) != own:
+                continue
+            level = min(LEVEL_MAX, max(LEVEL_MIN, report.level))
+            if (report.falls, level) <= (pace.falls, pace.level):
+                continue
+            event = (
+                PaceEvent.BAD if report.falls > pace.falls else PaceEvent.GOOD
+            )
+            if event is PaceEvent.BAD:
+                pace.bad_at = now
+                pace.extra = 0
+            pace.falls = report.falls
+            pace.level = level
+            pace.stepped_at = now
+            self._apply(pace, event)
+
+    def advance(self, now: float) -> None:
+        """Moves all targets on to the present time; forgets settled ones."""
+        for pace in list(self._paces_by_target.values()):
+            self._advance(pace, now)
+
+    def states(self) -> dict[str, PaceState]:
+        """Returns the state of each target that is not settled."""
+        return {
+            name: pace.state for name, pace in self._paces_by_target.items()
+        }
+
+    def counts(self, total: int) -> dict[PaceState, int]:
+        """Returns the number of targets by state.
+
+        Args:
+            total: Number of registered targets.
+        """
+        counts = Counter(self.states().values())
+        unsettled = len(self._paces_by_target)
+        return {
+            **{state: counts[state] for state in PaceState},
+            PaceState.SETTLED: max(0, total - unsettled),
+        }
+
+    def remove_target(self, name: str) -> None:
+        """Removes a target that is no longer registered."""
+        self._paces_by_target.pop(name, None)
+
+    def _entry(
+        self,
+        target: RegisteredTarget,
+        *,
+        state: PaceState = PaceState.SETTLED,
+    ) -> _TargetPace:
+        pace = self._paces_by_target.get(target.name)
+        if pace is None:
+            pace = _TargetPace(target=target, state=state)
+            self._paces_by_target[target.name] = pace
+            self._rank(pace, changed_at=self._fleet_changed_at)
+        pace.target = target
+        return pace
+
+    def _rank(self, pace: _TargetPace, *, changed_at: float) -> None:
+        """Ranks the gateways: those of the target's region send to it most.
+
+        Args:
+            pace: The target.
+            changed_at: Monotonic time of the fleet's last change, in seconds.
+        """
+        region_by_name = {
+            gateway.name: gateway.region for gateway in self._fleet
+        }
+        ranking = rendezvous_rank(region_by_name, hash_key=pace.target.name)
+        ranking.sort(
+            key=lambda name: region_by_name[name] != pace.target.region
+        )
+        senders = ranking[:SENDERS_PER_COLD_TARGET]
+        heard = {gateway.name for gateway in self._fleet if gateway.is_heard}
+        is_same = senders == pace.ranking[:SENDERS_PER_COLD_TARGET]
+        if not heard.issuperset(senders):
+            pace.senders_since = math.inf
+        elif not is_same or pace.senders_since == math.inf:
+            pace.senders_since = changed_at
+        pace.ranking = ranking
+
+    def _eject(self, target: RegisteredTarget, now: float) -> None:
+        is_settled = target.name not in self._paces_by_target
+        pace = self._entry(target)
+        pace.is_own = pace.is_own or is_settled
+        if pace.is_own:
+            pace.level = 0
+        pace.is_probed = True
+        pace.extra = 0
+        pace.bad_at = now
+        self._apply(pace, PaceEvent.EJECTED)
+
+    def _hear_good(self, pace: _TargetPace, now: float) -> None:
+        if pace.is_probed:
+            pace.is_probed = False
+            pace.stepped_at = now
+            pace.began_at = now
+        pace.has_good = True
+        self._apply(pace, PaceEvent.GOOD)
+        self._advance(pace, now)
+
+    def _hear_bad(self, pace: _TargetPace, now: float) -> None:
+        pace.fall(now)
+        self._apply(pace, PaceEvent.BAD)
+
+    def _advance(self, pace: _TargetPace, now: float) -> None:
+        if pace.is_cold and now >= pace.cold_until:
+            was_rate_limited = self._is_rate_limited(pace)
+            pace.is_cold = False
+            pace.bucket = None
+            if was_rate_limited:
+                has_done_well = pace.level > 0 and not pace.falls
+                pace.begin_phase(now, level=int(has_done_well))
+            pace.began_at = now
+        if pace.is_probed:
+            return
+        if pace.state is PaceState.BACKING_OFF:
+            if now - pace.bad_at >= QUIET_S:
+                self._apply(pace, PaceEvent.QUIET)
+            return
+        if pace.state is PaceState.RAMPING:
+            self._step(pace, now)
+
+    def _step(self, pace: _TargetPace, now: float) -> None:
+        since_s = now - pace.stepped_at
+        if pace.has_good and since_s >= STEP_S:
+            if not self._is_at_cold_maximum(pace):
+                pace.rise(now)
+        elif not pace.is_cold and since_s >= BLIND_STEP_S:
+            pace.rise(now)
+        if pace.is_cold:
+            return
+        is_open = self._is_open(pace)
+        if is_open or now - pace.began_at >= RAMP_MAX_S:
+            self._apply(pace, PaceEvent.OPEN)
+
+    def _is_rate_limited(self, pace: _TargetPace) -> bool:
+        """Returns whether it is cold and its plan names a rate."""
+        return pace.is_cold and self._cold_rate(pace.target.service) > 0.0
+
+    def _is_at_cold_maximum(self, pace: _TargetPace) -> bool:
+        """Returns whether a higher level would allow no higher rate."""
+        if not self._is_rate_limited(pace):
+            return False
+        rate = self._cold_rate(pace.target.service)
+        share = self._bound.first_share(rate) * 2.0**pace.level
+        return share >= self._largest_share(pace, rate)
+
+    def _largest_share(self, pace: _TargetPace, rate: float) -> float:
+        """Returns a sender's highest rate; more if there are few senders."""
+        count = len(pace.ranking[:SENDERS_PER_COLD_TARGET])
+        factor = SENDERS_PER_COLD_TARGET / max(1, count)
+        return factor * self._bound.largest_share(rate)
+
+    def _is_open(self, pace: _TargetPace) -> bool:
+        """Returns whether any gateway may use all slots at once."""
+        if pace.is_own:
+            return 2**pace.level >= pace.target.slots
+        return pace.level >= OPEN_LEVEL
+
+    def _allowance(self, pace: _TargetPace) -> int:
+        """Returns the requests in flight there allowed to all gateways."""
+        return max(1, int(pace.target.slots * 2.0**pace.level))
+
+    def _concurrency_max(self, pace: _TargetPace) -> int:
+        """Returns this gateway's part of the allowance."""
+        if pace.is_own:
+            return max(1, int(2.0**pace.level)) + pace.extra
+        count = len(pace.ranking)
+        if not count:
+            return self._allowance(pace) + pace.extra
+        part, rest = divmod(self._allowance(pace), count)
+        # A gateway that is not advertised comes last.
+        is_among_rest = self._name in pace.ranking[:rest]
+        return part + is_among_rest + pace.extra
+
+    def _may_send_cold(self, pace: _TargetPace, now: float) -> bool:
+        if now < self._sends_cold_from:
+            return False
+        if self._name not in pace.ranking[:SENDERS_PER_COLD_TARGET]:
+            return False
+        if pace.bucket is None:
+            return True
+        return self._bucket(pace, now).wait_s(now) <= 0.0
+
+    def _bucket(self, pace: _TargetPace, now: float) -> TokenBucket:
+        if pace.bucket is None:
+            pace.bucket = TokenBucket(now=now)
+        rate = self._cold_share(pace, now)
+        pace.bucket.resize(rate=rate, burst=1.0, now=now)
+        return pace.bucket
+
+    def _cold_share(self, pace: _TargetPace, now: float) -> float:
+        """Returns this gateway's rate at a cold target, in requests a second.
+
+        Above the rate before any answer only while it is sure who sends.
+        """
+        rate = self._cold_rate(pace.target.service)
+        first = self._bound.first_share(rate)
+        if pace.level <= 0 or now - pace.senders_since < SENDERS_STABLE_S:
+            return first
+        largest = self._largest_share(pace, rate)
+        return min(largest, first * 2.0**pace.level)
+
+    def _apply(self, pace: _TargetPace, event: PaceEvent) -> None:
+        state = next_state(pace.state, event)
+        if state is PaceState.SETTLED:
+            self._paces_by_target.pop(pace.target.name, None)
+        if state is pace.state:
+            return
+        before, pace.state = pace.state, state
+        self._log_event(
+            "target-pace",
+            target=pace.target.name,
+            service=pace.target.service,
+            state=state.value,
+            before=before.value,
+            why=event.value,
+            cold=pace.is_cold,
+            level=pace.level,
+            falls=pace.falls,
+        )
--- a/kingcupvane/request/selection.py
+++ b/kingcupvane/request/selection.py
@@ -1,6 +1,6 @@
 """Selection of the service and the target for a request to a gateway."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from functools import partial
 
 from kingcupvane.hashing import stable_hash
@@ -66,18 +66,15 @@
         *,
         catalog: Catalog,
         rollout_states: RolloutStates,
-        gateways: Callable[[], list[str]],
     ):
         """Creates a selector.
 
         Args:
             catalog: Traffic plan and registered targets.
             rollout_states: Rollout states that this gateway knows.
-            gateways: Returns the names of the advertised gateways.
         """
         self._catalog = catalog
         self._rollout_states = rollout_states
-        self._gateways = gateways
         self._response_bytes_by_route: dict[str, float] = {}
 
     def record_response_size(self, route: str, size: int) -> None:
@@ -158,9 +155,7 @@
             is_new = target.version == spec.version
             if is_new != (cohort == NEW_COHORT):
                 return False
-        if not self._catalog.slow_start.may_use(
-            target.name, self._gateways(), now
-        ):
+        if not self._catalog.pace.may_use(view, now):
             return False
         return self._catalog.target_limits.may_use(target, now)
 
--- a/kingcupvane/request/sending.py
+++ b/kingcupvane/request/sending.py
@@ -126,9 +126,7 @@
         started_at = self._clock.now()
         gateway_request.attempted_targets.append(target.name)
         gateway_request.excluded_targets.add(target.name)
-        catalog.slow_start.record_request(
-            target.name, rate=catalog.cold_rate(target.service), now=started_at
-        )
+        catalog.pace.record_request(target.name, started_at)
         catalog.target_limits.record_request(target, started_at)
         view.record_start(gateway_request.affinity_key, started_at)
         attempt = Attempt(outcome=AttemptOutcome.CANCELLED)
@@ -183,6 +181,16 @@
         ejected = view.record_outcome(
             attempt.outcome, latency_ratio=ratio, reported=reported, now=now
         )
+        self._catalog.pace.record_outcome(
+            view.target,
+            attempt.outcome,
+            elapsed_s=elapsed_s,
+            objective_s=gateway_request.route.latency_objective_s,
+            expected_s=candidate.expected_latency_s,
+            reported=reported,
+            ejected=ejected,
+            now=now,
+        )
         if ejected:
             self._log_event(
                 "target-ejected",
@@ -228,7 +236,7 @@
         target = candidate.view.target
         if attempt.outcome in OUTCOMES_WITHOUT_EVIDENCE:
             return
-        if self._catalog.slow_start.is_cold(target.name, self._clock.now()):
+        if self._catalog.pace.is_cold(target.name, self._clock.now()):
             return
         service_time = self._service_time(gateway_request)
         nominal_s = nominal_latency_s(candidate, service_time)
--- a/kingcupvane/tests/test_peering.py
+++ b/kingcupvane/tests/test_peering.py
@@ -17,7 +17,7 @@
     SUMMARY_STALE_AFTER_S,
     SUMMARY_TIMEOUT_S,
     PeerTable,
-    advertised_names,
+    advertised_records,
     lookup_addresses,
     store_watchers,
 )
@@ -149,7 +149,8 @@
     for other in wide:
         table.receive_report(report(other), 0.0)
     assert lookup(table, 0.1) == ["w1:80", "w2:80"]
-    assert advertised_names(table, own_ready=True, now=0.1) == ["w1", "w2"]
+    advertised = advertised_records(table, own_ready=True, now=0.1)
+    assert [record.name for record in advertised] == ["w1", "w2"]
     table.receive_report(report(wide[0], ready=False), 0.2)
     assert lookup(table, 0.3) == ["a:80", "w2:80"]
 
--- a/kingcupvane/tests/test_pipeline.py
+++ b/kingcupvane/tests/test_pipeline.py
@@ -28,6 +28,7 @@
 from kingcupvane.request.announcements import instance_of
 from kingcupvane.request.crashes import CrashRegistry
 from kingcupvane.request.gateway_request import WireNames
+from kingcupvane.request.pace import PacingGateway
 from kingcupvane.request.pipeline import (
     RequestPipeline,
     Shutdown,
@@ -197,11 +198,14 @@
             clock=clock,
             timeline=timeline,
         )
+        self.catalog.pace.update_fleet(
+            [PacingGateway(name="g", region="north", is_heard=True)],
+            clock.now(),
+        )
         self.crashes = CrashRegistry(settings=RetrySettings())
         selector = TargetSelector(
             catalog=self.catalog,
             rollout_states=RolloutStates(),
-            gateways=lambda: ["g"],
         )
         sender = TargetSender(
             catalog=self.catalog,
