--- a/kingcupvane/request/pace.py
+++ b/kingcupvane/request/pace.py
@@ -107,6 +107,8 @@
         EJECTED: This gateway has stopped using it after failures.
         QUIET: No bad answer for some time.
         OPEN: Its limit no longer binds any gateway.
+        EXPIRED: Its ramp has lasted too long; if it still answers badly, that
+            is no matter of its start.
     """
 
     SEEN_OLD = "seen_old"
@@ -117,6 +119,7 @@
     EJECTED = "ejected"
     QUIET = "quiet"
     OPEN = "open"
+    EXPIRED = "expired"
 
 
 # The next state by state and event; events that are left out change nothing.
@@ -131,10 +134,12 @@
         PaceEvent.BAD: PaceState.BACKING_OFF,
         PaceEvent.EJECTED: PaceState.BACKING_OFF,
         PaceEvent.OPEN: PaceState.SETTLED,
+        PaceEvent.EXPIRED: PaceState.SETTLED,
     },
     PaceState.BACKING_OFF: {
         PaceEvent.GOOD: PaceState.RAMPING,
         PaceEvent.QUIET: PaceState.RAMPING,
+        PaceEvent.EXPIRED: PaceState.SETTLED,
     },
     PaceState.SETTLED: {
         PaceEvent.TURNED_COLD: PaceState.RAMPING,
@@ -617,6 +622,8 @@
             pace.began_at = now
         if pace.is_probed:
             return
+        if not pace.is_cold and now - pace.began_at >= RAMP_MAX_S:
+            self._apply(pace, PaceEvent.EXPIRED)
         if pace.state is PaceState.BACKING_OFF:
             if now - pace.bad_at >= QUIET_S:
                 self._apply(pace, PaceEvent.QUIET)
@@ -631,10 +638,7 @@
                 pace.rise(now)
         elif not pace.is_cold and since_s >= BLIND_STEP_S:
             pace.rise(now)
-        if pace.is_cold:
-            return
-        is_open = self._is_open(pace)
-        if is_open or now - pace.began_at >= RAMP_MAX_S:
+        if not pace.is_cold and self._is_open(pace):
             self._apply(pace, PaceEvent.OPEN)
 
     def _is_rate_limited(self, pace: _TargetPace) -> bool:
--- a/kingcupvane/request/sending.py
+++ b/kingcupvane/request/sending.py
@@ -181,16 +181,18 @@
         ejected = view.record_outcome(
             attempt.outcome, latency_ratio=ratio, reported=reported, now=now
         )
-        self._catalog.pace.record_outcome(
-            view.target,
-            attempt.outcome,
-            elapsed_s=elapsed_s,
-            objective_s=gateway_request.route.latency_objective_s,
-            expected_s=candidate.expected_latency_s,
-            reported=reported,
-            ejected=ejected,
-            now=now,
-        )
+        if self._catalog.views_by_name().get(view.target.name) is view:
+            # Otherwise another process has its name by now, or none.
+            self._catalog.pace.record_outcome(
+                view.target,
+                attempt.outcome,
+                elapsed_s=elapsed_s,
+                objective_s=gateway_request.route.latency_objective_s,
+                expected_s=candidate.expected_latency_s,
+                reported=reported,
+                ejected=ejected,
+                now=now,
+            )
         if ejected:
             self._log_event(
                 "target-ejected",
@@ -229,9 +231,9 @@
         The latency is normalised by the nominal latency of the exchange, so
         that a version is not rated worse for requests whose affinity key is
         new to it. Attempts that the target did not work on, and attempts at a
-        target in slow start, are left out. A timeout counts only if the target
-        lives: when a data centre is lost, the version with more of its targets
-        there would be judged by that.
+        target that is cold as a whole, are left out. A timeout counts only if
+        the target lives: when a data centre is lost, the version with more of
+        its targets there would be judged by that.
         """
         target = candidate.view.target
         if attempt.outcome in OUTCOMES_WITHOUT_EVIDENCE:
--- a/kingcupvane/tests/test_pace.py
+++ b/kingcupvane/tests/test_pace.py
@@ -86,6 +86,7 @@
     PaceEvent.EJECTED: (BACKING_OFF, BACKING_OFF, BACKING_OFF, BACKING_OFF),
     PaceEvent.QUIET: (UNKNOWN, RAMPING, RAMPING, SETTLED),
     PaceEvent.OPEN: (UNKNOWN, SETTLED, BACKING_OFF, SETTLED),
+    PaceEvent.EXPIRED: (UNKNOWN, SETTLED, SETTLED, SETTLED),
 }
 
 
@@ -192,6 +193,16 @@
     assert risen.level > fallen.level
 
 
+def test_ramp_ends_even_if_all_answers_are_bad():
+    limiter = pacer()
+    target = registered_target("t")
+    limiter.mark_cold(target, left_s=1.0, now=0.0)
+    view = TargetView(target=target)
+    for step in range(30):
+        answer(limiter, view, 1.4 + step * 0.2, AttemptOutcome.SHED)
+    assert limiter.states() == {}
+
+
 @pytest.mark.parametrize(
     ("changes", "is_good"),
     [
--- a/kingcupvane/tests/test_pipeline.py
+++ b/kingcupvane/tests/test_pipeline.py
@@ -33,7 +33,7 @@
     RequestPipeline,
     Shutdown,
 )
-from kingcupvane.request.placement import Locality
+from kingcupvane.request.placement import AttemptOutcome, Locality
 from kingcupvane.request.quota import DistributedQuota
 from kingcupvane.request.retry_budgets import RetryAllowance, RetryBudgets
 from kingcupvane.request.selection import TargetSelector
@@ -778,6 +778,46 @@
     assert gateway.pool.target_names.count(busy) == 2
 
 
+def test_cold_target_gets_few_requests_until_its_answers_are_known(
+    make_gateway, timeline
+):
+    gateway = make_gateway()
+    for name in ("t0", "t1", "t2"):
+        gateway.catalog.apply(TargetUpdate(name=name, target=None))
+    gateway.clock.advance(3.0)
+    gateway.catalog.remove_expired_targets()
+    gateway.register(registered_target("t3", cold_left_s=2.0))
+    assert gateway.catalog.pace_counts()["ramping"] == 1
+    statuses = [gateway.send_request()[0] for _ in range(5)]
+    assert statuses == [200, 503, 503, 503, 503]
+    for _ in range(40):
+        gateway.clock.advance(0.25)
+        gateway.catalog.pace.advance(gateway.clock.now())
+    assert gateway.catalog.pace_counts()["settled"] == 1
+    assert [gateway.send_request()[0] for _ in range(5)] == [200] * 5
+    kinds = [event.kind for event in timeline.since(Stamp())]
+    assert kinds.count("target-pace") >= 2
+
+
+def test_lost_target_is_tried_with_one_request_at_first(make_gateway):
+    gateway = make_gateway()
+    for name in ("t0", "t1", "t2"):
+        view = gateway.catalog.views_by_name()[name]
+        gateway.catalog.pace.record_outcome(
+            view.target,
+            AttemptOutcome.UNREACHABLE,
+            elapsed_s=0.0,
+            objective_s=0.25,
+            expected_s=0.1,
+            reported=None,
+            ejected=True,
+            now=gateway.clock.now(),
+        )
+    assert gateway.catalog.pace_counts()["backing_off"] == 3
+    assert gateway.send_request()[0] == 200
+    assert gateway.catalog.pace_counts()["backing_off"] == 2
+
+
 def test_caller_is_told_to_return_when_a_deferral_ends(make_gateway):
     gateway = make_gateway(*[shed_with_retry_after(b"1.2")] * 3)
     status, headers, _ = gateway.send_request()
--- a/kingcupvane/tests/test_summary.py
+++ b/kingcupvane/tests/test_summary.py
@@ -1,10 +1,12 @@
 """Tests of data centre summaries and usage totals."""
 
+import msgspec
 from hypothesis import given, seed
 from hypothesis import strategies as st
 
 from kingcupvane.connection.messages import Stamp
 from kingcupvane.process.summary import UsageTotals, summarize
+from kingcupvane.request.pace import PaceReport
 from kingcupvane.request.rate_limit import AccountUsage
 from kingcupvane.tests.test_peering import record, report
 
@@ -44,6 +46,16 @@
     assert summary.stamp == Stamp(7)
 
 
+def test_summary_tells_the_pace_of_the_gateway_that_knows_most():
+    paces = [[PaceReport("t", 1, False, falls, 0)] for falls in (0, 2, 1)]
+    reports = [
+        msgspec.structs.replace(report(record(name)), paces=known)
+        for name, known in zip("abc", paces, strict=True)
+    ]
+    summary = summarize(reports, UsageTotals(), stamp=Stamp(7))
+    assert summary.paces == paces[1]
+
+
 STEPS = st.lists(
     st.tuples(
         st.sampled_from("abc"), st.booleans(), st.integers(0, 9), st.booleans()
