Pace: a limit that binds while the target idles rises

Cause: with 84 gateways and little demand no gateway hears answers soon, and the ramp went on by time only. Change: a limit that binds while the known load leaves half of the slots free counts as a good answer.

--- a/kingcupvane/request/pace.py
+++ b/kingcupvane/request/pace.py
@@ -52,6 +52,8 @@
 SENDERS_STABLE_S = 3.0
 # Requests that may wait at a target that is not settled.
 QUEUE_MAX = 1.0
+# Free share of the slots from which a target that is no longer cold idles.
+IDLE_SHARE = 0.5
 # Level at which the limit of a target that is no longer cold ends.
 OPEN_LEVEL = 3
 # Shortest time between two changes of a limit, in seconds: a report between
@@ -427,6 +429,9 @@
             return True
         if room < 1.0 or pace.is_own:
             return False
+        if room >= IDLE_SHARE * view.target.slots:
+            # The limit binds though the target idles: as good as an answer.
+            pace.has_good = True
         return self._draw() < 2.0 ** (pace.level - OPEN_LEVEL)
 
     def record_request(self, target: str, now: float) -> None:
--- a/kingcupvane/tests/test_pace.py
+++ b/kingcupvane/tests/test_pace.py
@@ -258,6 +258,21 @@
     assert allowed == len(names)
 
 
+def test_limit_that_binds_while_the_target_idles_rises_without_an_answer():
+    names = [f"g{i}" for i in range(84)]
+    target = registered_target("t", slots=4)
+    levels = []
+    for load in (0, 4):
+        limiter = pacer(names[0], fleet=names[1:])
+        limiter.mark_cold(target, left_s=1.0, now=0.0)
+        view = TargetView(target=target)
+        view.peer_in_flight = load
+        for now in (1.4, 1.5, 1.7):
+            assert not limiter.may_use(view, now)
+        levels.append(limiter.reports()[0].level)
+    assert levels == [1, 0]
+
+
 # What gateways tell each other.
 
 
