--- a/kingcupvane/request/sending.py
+++ b/kingcupvane/request/sending.py
@@ -126,9 +126,7 @@
         started_at = self._clock.now()
         gateway_request.attempted_targets.append(target.name)
         gateway_request.excluded_targets.add(target.name)
-        catalog.slow_start.record_request(
-            target.name, rate=catalog.cold_rate(target.service), now=started_at
-        )
+        catalog.pace.record_request(target.name, started_at)
         catalog.target_limits.record_request(target, started_at)
         view.record_start(gateway_request.affinity_key, started_at)
         attempt = Attempt(outcome=AttemptOutcome.CANCELLED)
@@ -185,6 +183,18 @@
         ejected = view.record_outcome(
             attempt.outcome, latency_ratio=ratio, reported=reported, now=now
         )
+        if self._catalog.views_by_name().get(view.target.name) is view:
+            # Otherwise another process has its name by now, or none.
+            self._catalog.pace.record_outcome(
+                view.target,
+                attempt.outcome,
+                elapsed_s=elapsed_s,
+                objective_s=gateway_request.route.latency_objective_s,
+                expected_s=candidate.expected_latency_s,
+                reported=reported,
+                ejected=ejected,
+                now=now,
+            )
         if ejected:
             self._log_event(
                 "target-ejected",
@@ -223,14 +233,14 @@
         The latency is normalised by the nominal latency of the exchange, so
         that a version is not rated worse for requests whose affinity key is
         new to it. Attempts that the target did not work on, and attempts at a
-        target in slow start, are left out. A timeout counts only if the target
-        lives: when a data centre is lost, the version with more of its targets
-        there would be judged by that.
+        target that is cold as a whole, are left out. A timeout counts only if
+        the target lives: when a data centre is lost, the version with more of
+        its targets there would be judged by that.
         """
         target = candidate.view.target
         if attempt.outcome in OUTCOMES_WITHOUT_EVIDENCE:
             return
-        if self._catalog.slow_start.is_cold(target.name, self._clock.now()):
+        if self._catalog.pace.is_cold(target.name, self._clock.now()):
             return
         service_time = self._service_time(gateway_request)
         nominal_s = nominal_latency_s(candidate, service_time)
