Admission by priority, paced returns

Cause: priority was read and used by no decision; requests with a generous objective filled queues that urgent ones could not bear. Retry-After was a jittered wait, so that callers of one burst came back together. Callers' retries were not recognised where the route's timeout is shorter than the caller's own.

Change: load by service and priority in the gateways' reports; shares by priority in an overload, with a least share (request/load_shedding.py); returns at the pace of the expected room (request/returning_callers.py); the decisions moved out of the pipeline (request/slot_admission.py). A caller's retry waits no longer than a first attempt in an overload. Log fields, counters and gauges.

--- a/kingcupvane/connection/messages.py
+++ b/kingcupvane/connection/messages.py
@@ -13,6 +13,7 @@
 from kingcupvane.process.item import Item
 from kingcupvane.request.announcements import TargetInstance
 from kingcupvane.request.crashes import SuspicionNotice
+from kingcupvane.request.load_shedding import PriorityLoad
 from kingcupvane.request.rate_limit import AccountUsage
 from kingcupvane.version.canary_analysis import Tally
 from kingcupvane.version.move import MoveState
@@ -404,6 +405,7 @@
             requests are counted since the source's start.
         demand: Requests a second from its callers, by service.
         in_flight: Requests of its gateways in flight, by target.
+        loads: Wanted and refused slots by service and priority.
     """
 
     data_centre: str
@@ -415,6 +417,7 @@
     use: dict[str, AccountUsage]
     demand: dict[str, float]
     in_flight: dict[str, int] = {}
+    loads: dict[str, list[PriorityLoad]] = {}
 
 
 class GatewayReport(
@@ -430,10 +433,11 @@
             newer than that revision, in seconds.
         feed: Where its mirror is updated from.
         use: Demand and admitted requests of its callers, by client account;
-            like `demand` and `in_flight`, it is sent only within the data
-            centre.
+            like `demand`, `in_flight` and `loads`, it is sent only within the
+            data centre.
         demand: Requests a second from its callers, by service.
         in_flight: Its requests in flight, by target.
+        loads: Wanted and refused slots by service and priority.
         crashes: Requests that crash targets or are cleared of it.
         leaving: Registered targets that have announced their stop.
         states: States of the known rollouts.
@@ -454,6 +458,7 @@
     use: dict[str, AccountUsage] = {}
     demand: dict[str, float] = {}
     in_flight: dict[str, int] = {}
+    loads: dict[str, list[PriorityLoad]] = {}
     crashes: list[SuspicionNotice] = []
     leaving: list[TargetInstance] = []
     states: list[MoveState] = []
--- a/kingcupvane/process/catalog.py
+++ b/kingcupvane/process/catalog.py
@@ -15,6 +15,7 @@
     TargetInstance,
     instance_of,
 )
+from kingcupvane.request.load_shedding import LoadShedder
 from kingcupvane.request.peer_requests import PeerRequests
 from kingcupvane.request.placement import (
     BULK_BYTES,
@@ -150,6 +151,7 @@
         slow_start: Limits the rate of requests to cold targets.
         target_limits: Rate limits that targets have named.
         peer_requests: Requests of other gateways in flight at the targets.
+        load_shedder: Load by service and priority, of all gateways.
     """
 
     def __init__(
@@ -184,6 +186,7 @@
             quota=quota, log_event=timeline.record
         )
         self.peer_requests = PeerRequests(apply_count=self._set_peer_in_flight)
+        self.load_shedder = LoadShedder(log_event=timeline.record)
         self._views_by_name: dict[str, TargetView] = {}
         self._views_by_service: dict[str, list[TargetView]] = {}
         self._removed_at_by_name: dict[str, float] = {}
--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -532,6 +532,14 @@
             metrics.targets_leaving.set({"service": service}, count)
         for service, count in self._catalog.deferred_counts().items():
             metrics.targets_deferred.set({"service": service}, count)
+        for service, state in self._catalog.load_shedder.states(now).items():
+            metrics.overload.set({"service": service}, int(state.is_overloaded))
+            metrics.slots_wanted.set(
+                {"service": service}, round(state.wanted, 1)
+            )
+            for priority, share in state.shares.items():
+                labels = {"service": service, "priority": str(priority)}
+                metrics.priority_share.set(labels, round(share, 3))
         for account, tokens in self._quota.tokens_by_account().items():
             if account in self._catalog.plan.accounts_by_name:
                 metrics.quota_left.set({"account": account}, round(tokens, 1))
--- a/kingcupvane/process/metrics.py
+++ b/kingcupvane/process/metrics.py
@@ -86,6 +86,21 @@
         self.refusals = self._counter(
             "kingcupvane_refusals_total", "Requests refused by reason."
         )
+        self.refusals_by_priority = self._counter(
+            "kingcupvane_no_room_refusals_total",
+            "Requests refused for want of a slot by service, cause, priority.",
+        )
+        self.priority_share = self._gauge(
+            "kingcupvane_priority_share",
+            "Share of requests that may wait for a slot by service, priority.",
+        )
+        self.overload = self._gauge(
+            "kingcupvane_overload", "1 while a service is overloaded, else 0."
+        )
+        self.slots_wanted = self._gauge(
+            "kingcupvane_slots_wanted",
+            "Slots that the callers of all gateways want, by service.",
+        )
         self.active = self._gauge(
             "kingcupvane_requests_active", "Requests in the gateway now."
         )
--- a/kingcupvane/process/reporting.py
+++ b/kingcupvane/process/reporting.py
@@ -223,6 +223,7 @@
             use=self._quota.usage_by_account(now) if local else {},
             demand=self._catalog.demand() if local else {},
             in_flight=self._catalog.in_flight() if local else {},
+            loads=self._catalog.load_shedder.report(now) if local else {},
             crashes=self._crashes.snapshot(now),
             leaving=self._catalog.announced_leaving(),
             states=list(self._rollout_states.states_by_name.values()),
@@ -296,6 +297,9 @@
             self._catalog.peer_requests.update(
                 sender.name, report.in_flight, now
             )
+            self._catalog.load_shedder.update_peer(
+                sender.name, report.loads, now
+            )
             self._quota.update_peer(
                 sender.name,
                 report.use,
@@ -352,6 +356,11 @@
             summary.in_flight,
             now,
         )
+        self._catalog.load_shedder.update_peer(
+            DATA_CENTRE_PEER_NAME.format(summary.data_centre),
+            summary.loads,
+            now,
+        )
         self._quota.update_peer(
             DATA_CENTRE_PEER_NAME.format(summary.data_centre),
             summary.use,
--- a/kingcupvane/process/summary.py
+++ b/kingcupvane/process/summary.py
@@ -9,6 +9,7 @@
     MemberStatus,
     Stamp,
 )
+from kingcupvane.request.load_shedding import add_loads
 from kingcupvane.request.rate_limit import AccountUsage
 
 
@@ -132,6 +133,7 @@
         use=totals.usage_by_account(report.use for report in reports),
         demand=demand_by_service,
         in_flight=in_flight_by_target,
+        loads=add_loads(report.loads for report in reports),
     )
 
 
--- a/kingcupvane/request/gateway_request.py
+++ b/kingcupvane/request/gateway_request.py
@@ -71,6 +71,45 @@
         return self.leaving | self.limit
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WaitDecision:
+    """Whether a request may wait for a slot, and why.
+
+    Attributes:
+        wait_s: Its expected wait, in seconds.
+        limit_s: The longest wait that it is allowed, in seconds.
+        cause: What sets that limit: `wait` for the latency objective or the
+            deadline, `share` where only a share of its priority may wait.
+        share: Share of its priority's requests that may wait.
+        is_overloaded: Whether the service refuses more than a few requests.
+        report_age_s: Age of the oldest report behind that, in seconds.
+    """
+
+    wait_s: float
+    limit_s: float
+    cause: str
+    share: float
+    is_overloaded: bool
+    report_age_s: float
+
+    @property
+    def is_admitted(self) -> bool:
+        """Whether the request may be sent."""
+        return self.wait_s <= self.limit_s
+
+    def explain(self) -> str:
+        """Returns why the request is refused, for its caller."""
+        return f"wait {self.wait_s:.3f} s allowed {self.limit_s:.3f} s"
+
+    def log_fields(self) -> dict[str, object]:
+        """Returns what the log line of a refusal tells."""
+        return {
+            "share": round(self.share, 2),
+            "overload": self.is_overloaded,
+            "report_age_s": round(self.report_age_s, 2),
+        }
+
+
 @dataclass(kw_only=True, slots=True)
 class GatewayRequest:
     """A caller's request while a gateway serves it.
@@ -81,6 +120,8 @@
         account: The client account; None without a valid key.
         arrived_at: Monotonic time at which the headers arrived, in seconds.
         deadline: Monotonic time by which the response is due, in seconds.
+        caller_deadline: Monotonic time until which the caller waits, its own
+            retries included, in seconds; the route's timeout does not bound it.
         caller_attempt_id: Id of the caller's attempt.
         affinity_key: Route and affinity cookie; empty for no affinity.
         is_caller_retry: Whether it repeats a refused request, as judged by a
@@ -93,6 +134,7 @@
         executions: Number of attempts that a target may have executed.
         is_crash_trial: Whether it is the only copy of a quarantined request
             that may be sent now.
+        wait_decision: Whether it may wait at its last target; None before.
         trace: Summary of each attempt: target, outcome, latency, expected
             latency and wait in milliseconds, and `known` or `new` for the
             affinity key at the target.
@@ -103,6 +145,7 @@
     account: AccountPlan | None
     arrived_at: float
     deadline: float
+    caller_deadline: float
     caller_attempt_id: bytes
     affinity_key: str
     is_caller_retry: bool = False
@@ -113,6 +156,7 @@
     excluded_targets: set[str] = field(default_factory=set)
     executions: int = 0
     is_crash_trial: bool = False
+    wait_decision: WaitDecision | None = None
     trace: list[str] = field(default_factory=list)
 
     @property
@@ -127,6 +171,25 @@
             return self.affinity_key
         return f"any/{stable_hash(self.id) % UNKEYED_RANKINGS}"
 
+    @property
+    def priority(self) -> int:
+        """Priority of its account if that has one, else of its route."""
+        if self.account is not None and self.account.priority is not None:
+            return self.account.priority
+        return self.route.priority
+
+    @property
+    def refusal_cause(self) -> str:
+        """Why there is no slot for it: `wait`, `share`, `shed` or `no-target`.
+
+        The first two are those of `WaitDecision`; `shed` if a target refused
+        it, `no-target` if none could be asked.
+        """
+        decision = self.wait_decision
+        if decision is not None and not decision.is_admitted:
+            return decision.cause
+        return "shed" if self.attempted_targets else "no-target"
+
     @property
     def account_name(self) -> str:
         """Name of the client account; empty without one."""
--- /dev/null
+++ b/kingcupvane/request/load_shedding.py
@@ -0,0 +1,416 @@
+"""Load shedding by priority: who may wait at a service that is overloaded.
+
+Load pattern: routes and accounts of different priorities share the targets of
+a service, and together they want more slots than there are. The requests of
+low priority may have the longer latency objective, so that they accept queues
+in which those of high priority miss theirs. Therefore each priority gets a
+share: of its requests, only that share may wait for a slot, and no longer than
+the higher priorities can bear. All others may still use free slots.
+
+The slots that are served go to the priorities in their order, but each keeps a
+least share. Every gateway computes the shares from what all gateways report,
+so that they move together without a leader.
+"""
+
+import math
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+
+import msgspec
+
+from kingcupvane.hashing import stable_hash
+
+# Time constant of the moving averages of load, in seconds.
+LOAD_TIME_CONSTANT_S = 1.0
+# Age from which a peer's report says nothing about the load any more, in
+# seconds.
+REPORT_EXPIRY_S = 2.0
+# Age up to which a silent peer still counts as one that serves callers, in
+# seconds: it may be alive behind a cut link. Routes without requests for that
+# long no longer bound the waits of lower priorities.
+SILENT_PEER_EXPIRY_S = 10.0
+# Refused part of the wanted slots at which an overload begins, and at which it
+# ends.
+OVERLOAD_BEGIN = 0.05
+OVERLOAD_END = 0.02
+# Least share of a priority, relative to the served share of all requests.
+LEAST_SHARE = 0.4
+# Least part of the served slots that is kept for callers who come back.
+RETURN_ROOM_MIN = 0.1
+# Part of the wait that higher priorities can bear for which the lower ones may
+# wait: the rest is headroom for those that arrive later.
+LOWER_PRIORITY_WAIT = 0.5
+# Shortest interval between two computations of the shares, in seconds, and the
+# time constant with which they follow the load.
+UPDATE_PERIOD_S = 0.2
+SHARE_TIME_CONSTANT_S = 1.0
+HASH_RANGE = 2.0**64
+
+
+class PriorityLoad(msgspec.Struct, frozen=True, array_like=True):
+    """Load of the requests of one priority at a service.
+
+    Slots are requests a second times their service time.
+
+    Attributes:
+        priority: The priority; 0 is the highest.
+        wanted: Slots that all its requests would keep busy.
+        refused: The part of `wanted` that was refused.
+        returning: The part of `wanted` that had been refused before.
+        rate: All its requests, by the second.
+        refused_rate: The refused ones among them, by the second.
+    """
+
+    priority: int
+    wanted: float
+    refused: float = 0.0
+    returning: float = 0.0
+    rate: float = 0.0
+    refused_rate: float = 0.0
+
+    def __add__(self, other: "PriorityLoad") -> "PriorityLoad":
+        """Returns the sum of two loads of the same priority."""
+        return PriorityLoad(
+            self.priority,
+            round(self.wanted + other.wanted, 2),
+            round(self.refused + other.refused, 2),
+            round(self.returning + other.returning, 2),
+            round(self.rate + other.rate, 2),
+            round(self.refused_rate + other.refused_rate, 2),
+        )
+
+
+ServiceLoads = Mapping[str, Iterable[PriorityLoad]]
+
+
+def add_loads(reports: Iterable[ServiceLoads]) -> dict[str, list[PriorityLoad]]:
+    """Returns the sums of several reports, by service and priority."""
+    sums: dict[str, dict[int, PriorityLoad]] = {}
+    for report in reports:
+        for service, loads in report.items():
+            by_priority = sums.setdefault(service, {})
+            for load in loads:
+                known = by_priority.get(load.priority)
+                by_priority[load.priority] = known + load if known else load
+    return {
+        service: [by_priority[priority] for priority in sorted(by_priority)]
+        for service, by_priority in sums.items()
+    }
+
+
+def priority_shares(loads: Iterable[PriorityLoad]) -> dict[int, float]:
+    """Returns the share of each priority's requests that may be served.
+
+    Args:
+        loads: Load of the whole fleet at one service, by priority.
+    """
+    ordered = sorted(loads, key=lambda load: load.priority)
+    wanted = sum(load.wanted for load in ordered)
+    served = wanted - sum(load.refused for load in ordered)
+    if wanted <= 0.0:
+        return {load.priority: 1.0 for load in ordered}
+    least = LEAST_SHARE * _served_share(ordered)
+    left = served - least * wanted
+    shares = {}
+    for load in ordered:
+        beyond_least = (1.0 - least) * load.wanted
+        given = min(beyond_least, max(0.0, left))
+        left -= given
+        share_of_rest = given / beyond_least if beyond_least > 0.0 else 1.0
+        shares[load.priority] = least + (1.0 - least) * share_of_rest
+    return shares
+
+
+def _served_share(loads: Iterable[PriorityLoad]) -> float:
+    """Returns how often requests are served, whatever their service time."""
+    loads = list(loads)
+    rate = sum(load.rate for load in loads)
+    refused_rate = sum(load.refused_rate for load in loads)
+    return max(0.0, 1.0 - refused_rate / rate) if rate > 0.0 else 0.0
+
+
+@dataclass(kw_only=True, slots=True)
+class _OwnLoad:
+    """Moving averages of this gateway's load of one priority.
+
+    They are those of `PriorityLoad`.
+    """
+
+    wanted: float = 0.0
+    refused: float = 0.0
+    returning: float = 0.0
+    rate: float = 0.0
+    refused_rate: float = 0.0
+    updated_at: float
+
+    def decay(self, now: float) -> None:
+        factor = math.exp(-(now - self.updated_at) / LOAD_TIME_CONSTANT_S)
+        self.wanted *= factor
+        self.refused *= factor
+        self.returning *= factor
+        self.rate *= factor
+        self.refused_rate *= factor
+        self.updated_at = now
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _TolerableWait:
+    """Wait that requests of one route and priority can bear, in seconds."""
+
+    priority: int
+    wait_s: float
+    counted_at: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _PeerReport:
+    """What a peer reported, and when, in monotonic seconds."""
+
+    loads_by_service: ServiceLoads
+    received_at: float
+
+
+@dataclass(kw_only=True, slots=True)
+class ServiceState:
+    """What a gateway knows of the load at a service.
+
+    Attributes:
+        is_overloaded: Whether more than a few requests are refused.
+        wanted: Slots that callers of all gateways want.
+        served: The part of `wanted` that was not refused.
+        returning: The part of `wanted` that had been refused before.
+        own_part: This gateway's part of what all gateways serve.
+        shares: Share of each priority that may wait for a slot.
+        report_age_s: Age of the oldest report that was used, in seconds.
+        updated_at: Monotonic time of the last update, in seconds.
+    """
+
+    is_overloaded: bool = False
+    wanted: float = 0.0
+    served: float = 0.0
+    returning: float = 0.0
+    own_part: float = 1.0
+    shares: dict[int, float] = field(default_factory=dict)
+    report_age_s: float = 0.0
+    updated_at: float = float("-inf")
+
+    def room_for_returns(self, slots: float) -> float:
+        """Returns the slots that are left for callers who come back.
+
+        Args:
+            slots: Slots of the usable targets; in an overload, what was served
+                of late tells more.
+        """
+        capacity = self.served if self.is_overloaded else slots
+        first_attempts = self.wanted - self.returning
+        return max(capacity - first_attempts, RETURN_ROOM_MIN * capacity)
+
+    def update(
+        self, loads: Iterable[PriorityLoad], *, own_part: float, now: float
+    ) -> bool:
+        """Follows the load; returns whether an overload began or ended.
+
+        Args:
+            loads: Load of the whole fleet, by priority.
+            own_part: This gateway's part of what all gateways serve.
+            now: Monotonic seconds.
+        """
+        loads = list(loads)
+        was_overloaded = self.is_overloaded
+        elapsed_s = now - self.updated_at
+        self.updated_at = now
+        self.own_part = own_part
+        self.wanted = sum(load.wanted for load in loads)
+        refused = sum(load.refused for load in loads)
+        self.returning = sum(load.returning for load in loads)
+        self.served = max(0.0, self.wanted - refused)
+        limit = OVERLOAD_END if was_overloaded else OVERLOAD_BEGIN
+        self.is_overloaded = refused > limit * self.wanted
+        aims = (
+            priority_shares(loads)
+            if self.is_overloaded
+            else {load.priority: 1.0 for load in loads}
+        )
+        weight = 1.0 - math.exp(-elapsed_s / SHARE_TIME_CONSTANT_S)
+        for priority, aim in aims.items():
+            share = self.shares.get(priority, 1.0)
+            self.shares[priority] = share + weight * (aim - share)
+        for priority in self.shares.keys() - aims.keys():
+            del self.shares[priority]
+        return self.is_overloaded != was_overloaded
+
+
+class LoadShedder:
+    """One gateway's shares by service and priority; does no I/O."""
+
+    def __init__(self, *, log_event: Callable[..., None]):
+        """Starts without load.
+
+        Args:
+            log_event: Logs an event; takes its kind and fields.
+        """
+        self._log_event = log_event
+        self._own_loads: dict[str, dict[int, _OwnLoad]] = {}
+        self._reports_by_peer: dict[str, _PeerReport] = {}
+        self._states_by_service: dict[str, ServiceState] = {}
+        self._tolerable_waits: dict[str, dict[str, _TolerableWait]] = {}
+
+    def count_request(
+        self,
+        service: str,
+        *,
+        route: str,
+        priority: int,
+        service_s: float,
+        tolerable_wait_s: float,
+        is_returning: bool,
+        now: float,
+    ) -> None:
+        """Counts a caller's request for a service.
+
+        Args:
+            service: Name of the service.
+            route: Name of the request's route.
+            priority: Its priority.
+            service_s: Its service time, in seconds.
+            tolerable_wait_s: Wait with which the route's requests still meet
+                their latency objective, in seconds.
+            is_returning: Whether it was refused before.
+            now: Monotonic seconds.
+        """
+        load = self._own_load(service, priority, now)
+        slots = service_s / LOAD_TIME_CONSTANT_S
+        load.wanted += slots
+        load.rate += 1.0 / LOAD_TIME_CONSTANT_S
+        if is_returning:
+            load.returning += slots
+        waits = self._tolerable_waits.setdefault(service, {})
+        waits[f"{priority}/{route}"] = _TolerableWait(
+            priority=priority, wait_s=tolerable_wait_s, counted_at=now
+        )
+
+    def count_refusal(
+        self, service: str, *, priority: int, service_s: float, now: float
+    ) -> None:
+        """Counts the refusal of a request that was counted before."""
+        load = self._own_load(service, priority, now)
+        load.refused += service_s / LOAD_TIME_CONSTANT_S
+        load.refused_rate += 1.0 / LOAD_TIME_CONSTANT_S
+
+    def _own_load(self, service: str, priority: int, now: float) -> _OwnLoad:
+        by_priority = self._own_loads.setdefault(service, {})
+        load = by_priority.get(priority)
+        if load is None:
+            load = _OwnLoad(updated_at=now)
+            by_priority[priority] = load
+        load.decay(now)
+        return load
+
+    def report(self, now: float) -> dict[str, list[PriorityLoad]]:
+        """Returns this gateway's load, for its peers."""
+        reported: dict[str, list[PriorityLoad]] = {}
+        for service, by_priority in self._own_loads.items():
+            for priority, load in sorted(by_priority.items()):
+                load.decay(now)
+                if load.wanted < 0.01:
+                    continue
+                reported.setdefault(service, []).append(
+                    PriorityLoad(
+                        priority,
+                        round(load.wanted, 2),
+                        round(min(load.refused, load.wanted), 2),
+                        round(load.returning, 2),
+                        round(load.rate, 2),
+                        round(min(load.refused_rate, load.rate), 2),
+                    )
+                )
+        return reported
+
+    def update_peer(
+        self, peer: str, loads_by_service: ServiceLoads, now: float
+    ) -> None:
+        """Replaces what a peer, or a whole data centre, has reported."""
+        self._reports_by_peer[peer] = _PeerReport(
+            loads_by_service=loads_by_service, received_at=now
+        )
+
+    def state(self, service: str, now: float) -> ServiceState:
+        """Returns what is known of the load at a service."""
+        state = self._states_by_service.setdefault(service, ServiceState())
+        if now - state.updated_at >= UPDATE_PERIOD_S:
+            self._update(service, state, now)
+        return state
+
+    def states(self, now: float) -> dict[str, ServiceState]:
+        """Returns the states of all services that callers have asked for."""
+        return {
+            service: self.state(service, now) for service in self._own_loads
+        }
+
+    def _update(self, service: str, state: ServiceState, now: float) -> None:
+        own = {service: self.report(now).get(service, [])}
+        reports = [own]
+        known_wanted = own_wanted = _wanted(own, service)
+        state.report_age_s = 0.0
+        for peer, report in list(self._reports_by_peer.items()):
+            age_s = now - report.received_at
+            if age_s > SILENT_PEER_EXPIRY_S:
+                del self._reports_by_peer[peer]
+                continue
+            known_wanted += _wanted(report.loads_by_service, service)
+            if age_s <= REPORT_EXPIRY_S:
+                state.report_age_s = max(state.report_age_s, age_s)
+                reports.append(
+                    {service: report.loads_by_service.get(service, [])}
+                )
+        loads = add_loads(reports).get(service, [])
+        own_part = own_wanted / known_wanted if known_wanted > 0.0 else 1.0
+        if state.update(loads, own_part=own_part, now=now):
+            self._log_event(
+                "overload-began" if state.is_overloaded else "overload-ended",
+                service=service,
+                wanted_slots=round(state.wanted, 1),
+                served_slots=round(state.served, 1),
+                report_age_s=round(state.report_age_s, 2),
+            )
+
+    def wait_bound_s(
+        self, service: str, *, priority: int, request_id: str, now: float
+    ) -> float:
+        """Returns how long a request may wait because of its priority.
+
+        That is without bound unless several priorities compete in an overload,
+        and no time at all for requests beyond the share of their priority.
+
+        Args:
+            service: Name of the service.
+            priority: Priority of the request.
+            request_id: Id of the caller's attempt; decides the draw.
+            now: Monotonic seconds.
+
+        Returns:
+            The time in seconds.
+        """
+        state = self.state(service, now)
+        if not state.is_overloaded or len(state.shares) < 2:
+            return math.inf
+        share = state.shares.get(priority, 1.0)
+        if stable_hash(f"share/{request_id}") / HASH_RANGE >= share:
+            return 0.0
+        return self._tolerable_wait_s(service, priority, now)
+
+    def _tolerable_wait_s(
+        self, service: str, priority: int, now: float
+    ) -> float:
+        """Returns a wait that leaves room for all higher priorities."""
+        waits_s = (
+            wait.wait_s
+            for wait in self._tolerable_waits.get(service, {}).values()
+            if wait.priority < priority
+            and now - wait.counted_at < SILENT_PEER_EXPIRY_S
+        )
+        return LOWER_PRIORITY_WAIT * max(0.0, min(waits_s, default=math.inf))
+
+
+def _wanted(loads_by_service: ServiceLoads, service: str) -> float:
+    return sum(load.wanted for load in loads_by_service.get(service, ()))
--- a/kingcupvane/request/pipeline.py
+++ b/kingcupvane/request/pipeline.py
@@ -38,13 +38,12 @@
     SERVER_ERROR_MIN,
     TargetSender,
 )
-from kingcupvane.request.wait_limit import allowed_wait_s, retry_after_s
+from kingcupvane.request.slot_admission import SlotAdmission
+from kingcupvane.request.wait_limit import retry_after_s
 
 # Includes attempts that targets refuse; a route's `attempts_max` counts only
 # those that a target may have executed.
 TOTAL_ATTEMPTS_MAX = 4
-# Assumed wait for a slot while a service has no registered target, in seconds.
-NO_TARGET_WAIT_S = 0.3
 # Share of its remaining time for which a copy of a quarantined request waits
 # for the trial of another copy.
 TRIAL_WAIT_SHARE = 0.5
@@ -132,6 +131,9 @@
             catalog=catalog, names=names, clock=clock
         )
         self._picker = DestinationPicker()
+        self._slot_admission = SlotAdmission(
+            catalog=catalog, metrics=metrics, clock=clock
+        )
         self.active_request_count = 0
         self.last_activity_at = float("-inf")
         self.shutdown: Shutdown | None = None
@@ -235,6 +237,7 @@
         gateway_request.service = self._picker.pick(gateway_request.route)
         self._retry_budgets.count_request(gateway_request.service, now)
         self._catalog.count_request(gateway_request.service)
+        self._slot_admission.count(gateway_request)
         return Ok(None)
 
     def _crash_refusal(self, gateway_request: GatewayRequest) -> Refusal:
@@ -318,19 +321,19 @@
                     self._final_refusal(
                         gateway_request,
                         last,
-                        self._explain_no_target(gateway_request.service),
+                        self._slot_admission.explain_no_target(
+                            gateway_request.service
+                        ),
+                    )
+                )
+            decision = self._slot_admission.decide(gateway_request, candidate)
+            gateway_request.wait_decision = decision
+            if not decision.is_admitted:
+                return Err(
+                    self._final_refusal(
+                        gateway_request, last, decision.explain()
                     )
                 )
-            limit_s = allowed_wait_s(
-                candidate,
-                latency_objective_s=gateway_request.route.latency_objective_s,
-                elapsed_s=now - gateway_request.arrived_at,
-                remaining_s=remaining_s,
-                is_caller_retry=gateway_request.is_caller_retry,
-            )
-            if candidate.wait_s > limit_s:
-                cause = f"wait {candidate.wait_s:.3f} s allowed {limit_s:.3f} s"
-                return Err(self._final_refusal(gateway_request, last, cause))
             if last is not None and not self._take_retry(gateway_request, last):
                 return self._final_result(gateway_request, last)
             last = await self._sender.send(gateway_request, candidate)
@@ -409,45 +412,7 @@
                 executed=Executed.UNKNOWN,
                 detail=detail,
             )
-        return make_refusal(
-            HTTPStatus.SERVICE_UNAVAILABLE,
-            "no-room",
-            Step.QUEUE,
-            retry_after_s=self._slot_retry_after_s(gateway_request),
-            detail=detail,
-        )
-
-    def _explain_no_target(self, service: str) -> str:
-        limits = self._catalog.target_limits
-        views = self._catalog.views(service)
-        limited = sum(limits.is_limited(view.target) for view in views)
-        if not limited:
-            return "no target is free"
-        return (
-            "no target is free,"
-            f" {limited} of {len(views)} have a limit of their own"
-        )
-
-    def _slot_retry_after_s(self, gateway_request: GatewayRequest) -> float:
-        """Returns the Retry-After until a target should have a free slot."""
-        now = self._clock.now()
-        queue_service_s = self._catalog.service_times.mean_s(
-            gateway_request.service
-        )
-        waits_s = []
-        for view in self._catalog.views(gateway_request.service):
-            if view.is_leaving:
-                continue
-            queued = max(0.0, view.load(now) + 1.0 - view.target.slots)
-            queue_wait_s = queued * queue_service_s / view.target.slots
-            limit_wait_s = self._catalog.target_limits.wait_s(view.target, now)
-            waits_s.append(
-                max(queue_wait_s, view.deferred_until - now, limit_wait_s)
-            )
-        return retry_after_s(
-            min(waits_s, default=NO_TARGET_WAIT_S),
-            caller_attempt_id=gateway_request.id,
-        )
+        return self._slot_admission.refuse(gateway_request, detail=detail)
 
     async def _send_response(
         self,
@@ -547,6 +512,10 @@
             refusal_fields["executed"] = refusal.executed.value
             refusal_fields["retry_after_s"] = round(refusal.retry_after_s, 3)
             refusal_fields["why"] = refusal.detail
+            refusal_fields["priority"] = gateway_request.priority
+            refusal_fields["cause"] = gateway_request.refusal_cause
+            if gateway_request.wait_decision is not None:
+                refusal_fields |= gateway_request.wait_decision.log_fields()
         missed_objective = elapsed_s > route.latency_objective_s
         failed = outcome != "answered" or status >= SERVER_ERROR_MIN
         self._log_event(
--- a/kingcupvane/request/resolution.py
+++ b/kingcupvane/request/resolution.py
@@ -85,7 +85,8 @@
         account: AccountPlan | None,
     ) -> GatewayRequest:
         arrived_at = self._clock.now() - request.queued_s
-        timeout_s = self._timeout_s(request, route)
+        caller_timeout_s = self._caller_timeout_s(request, route)
+        timeout_s = min(caller_timeout_s, route.timeout_s or TIMEOUT_DEFAULT_S)
         cookie = _find_cookie(
             request.headers.get("cookie", ""), self._names.affinity_cookie
         )
@@ -98,22 +99,27 @@
             account=account,
             arrived_at=arrived_at,
             deadline=arrived_at + timeout_s,
+            caller_deadline=arrived_at + caller_timeout_s,
             caller_attempt_id=request.headers.get(attempt_header, "").encode(
                 "latin-1"
             ),
             affinity_key=f"{route.name}/{cookie}" if cookie else "",
             is_caller_retry=self._caller_retry_detector.is_caller_retry(
-                route.name, timeout_s
+                route.name, caller_timeout_s
             ),
         )
 
-    def _timeout_s(self, request: asgi.HttpRequest, route: RoutePlan) -> float:
-        """Returns the caller's timeout, capped at the route's, in seconds."""
-        timeout_max_s = route.timeout_s or TIMEOUT_DEFAULT_S
+    def _caller_timeout_s(
+        self, request: asgi.HttpRequest, route: RoutePlan
+    ) -> float:
+        """Returns how long the caller will wait, in seconds.
+
+        That is the route's timeout where the caller doesn't say.
+        """
         requested_ms = request.headers.get(self._names.deadline.decode(), "")
         if not requested_ms.isdigit():
-            return timeout_max_s
-        return min(timeout_max_s, int(requested_ms) / MILLISECONDS_PER_SECOND)
+            return route.timeout_s or TIMEOUT_DEFAULT_S
+        return int(requested_ms) / MILLISECONDS_PER_SECOND
 
 
 def _find_cookie(header: str, name: str) -> str:
--- /dev/null
+++ b/kingcupvane/request/returning_callers.py
@@ -0,0 +1,97 @@
+"""Retry-After of refused requests: when their callers should come back.
+
+Load pattern: a burst is refused within a second or two. With a short delay, all
+its callers come back together and are refused again, for good. Each gateway
+therefore promises its callers one return after the other, at the pace of its
+part of the room that the service is expected to have, so that the promises of
+all gateways for a moment add up to that room. Callers for whom there is no room
+in time come back as late as they may: the overload may be over then.
+"""
+
+import math
+from dataclasses import dataclass, field
+
+from kingcupvane.hashing import stable_hash
+
+# Part of the time left to its deadline for which a caller is asked to wait at
+# most; callers honour up to a third, and the response takes time to arrive.
+RETURN_DELAY_SHARE = 0.32
+# Callers without room come back in the last part of that time, spread over it.
+NO_ROOM_SPREAD = 0.33
+HASH_RANGE = 2.0**64
+
+
+@dataclass(kw_only=True, slots=True)
+class _Timetable:
+    """Next times of return at a service, in monotonic seconds, by priority.
+
+    A return of some priority delays all lower ones.
+    """
+
+    free_at_by_priority: dict[int, float] = field(default_factory=dict)
+
+    def free_at(self, priority: int) -> float:
+        return max(
+            (
+                free_at
+                for other, free_at in self.free_at_by_priority.items()
+                if other <= priority
+            ),
+            default=-math.inf,
+        )
+
+    def take(self, priority: int, at: float, interval_s: float) -> None:
+        for other in self.free_at_by_priority:
+            if other > priority:
+                self.free_at_by_priority[other] += interval_s
+        self.free_at_by_priority[priority] = at + interval_s
+
+
+class ReturnSchedule:
+    """Promises of one gateway to refused callers, by service."""
+
+    def __init__(self):
+        """Starts without promises."""
+        self._timetables_by_service: dict[str, _Timetable] = {}
+
+    def delay_s(
+        self,
+        service: str,
+        *,
+        priority: int,
+        request_id: str,
+        service_s: float,
+        room_slots: float,
+        shortest_s: float,
+        time_left_s: float,
+        now: float,
+    ) -> float:
+        """Returns after how long a refused caller should come back, in seconds.
+
+        Args:
+            service: Name of the service.
+            priority: Priority of the request.
+            request_id: Id of the caller's attempt; seeds the spread.
+            service_s: Service time of the request, in seconds.
+            room_slots: Slots that this gateway expects to have for returning
+                callers.
+            shortest_s: Expected wait for a slot, in seconds.
+            time_left_s: Time left to the caller's deadline, in seconds.
+            now: Monotonic seconds.
+        """
+        longest_s = RETURN_DELAY_SHARE * max(0.0, time_left_s)
+        shortest_s = min(shortest_s, longest_s)
+        spread = stable_hash(f"return/{request_id}") / HASH_RANGE
+        timetable = self._timetables_by_service.setdefault(
+            service, _Timetable()
+        )
+        interval_s = service_s / room_slots if room_slots > 0.0 else math.inf
+        earliest = now + shortest_s
+        at = timetable.free_at(priority)
+        if at < earliest:
+            # Gateways whose first promises coincide must not start in step.
+            at = earliest + spread * interval_s
+        if at > now + longest_s:
+            return longest_s * (1.0 - NO_ROOM_SPREAD * spread)
+        timetable.take(priority, at, interval_s)
+        return at - now
--- a/kingcupvane/request/wait_limit.py
+++ b/kingcupvane/request/wait_limit.py
@@ -4,7 +4,9 @@
 at each. A standing queue makes every response late. A request is therefore
 refused at once if its wait would make it miss its latency objective; the others
 still meet theirs. A caller's retry of a request that was refused before is
-late already: it may wait longer, so that it is served eventually.
+late already: while the service has room, it may wait longer, so that it is
+served eventually. In an overload it would do so at the cost of requests that
+are still in time, so it waits no longer than these.
 """
 
 from kingcupvane.hashing import stable_hash
@@ -59,6 +61,7 @@
     elapsed_s: float,
     remaining_s: float,
     is_caller_retry: bool,
+    is_overloaded: bool = False,
 ) -> float:
     """Returns the longest wait that a request may have at a target, in seconds.
 
@@ -68,18 +71,20 @@
         elapsed_s: Time since the request arrived, in seconds.
         remaining_s: Time remaining until its deadline, in seconds.
         is_caller_retry: Whether it was refused before.
+        is_overloaded: Whether the service refuses more than a few requests.
     """
     without_wait = candidate.expected_latency_s - candidate.wait_s
     until_deadline = max(0.0, remaining_s - without_wait)
-    if is_caller_retry:
-        longest = min(
-            CALLER_RETRY_WAIT_MAX_S, CALLER_RETRY_WAIT_SHARE * remaining_s
-        )
-        return min(until_deadline, longest)
     until_objective = (
         latency_objective_s - elapsed_s - without_wait - CALLER_ROUND_TRIP_S
     )
-    return min(until_deadline, max(WAIT_MIN_S, until_objective))
+    longest = max(WAIT_MIN_S, until_objective)
+    if is_caller_retry:
+        late_s = min(
+            CALLER_RETRY_WAIT_MAX_S, CALLER_RETRY_WAIT_SHARE * remaining_s
+        )
+        longest = min(longest, late_s) if is_overloaded else late_s
+    return min(until_deadline, longest)
 
 
 def retry_after_s(wait_s: float, *, caller_attempt_id: str) -> float:
--- a/kingcupvane/tests/test_summary.py
+++ b/kingcupvane/tests/test_summary.py
@@ -1,10 +1,12 @@
 """Tests of data centre summaries and usage totals."""
 
+import msgspec
 from hypothesis import given, seed
 from hypothesis import strategies as st
 
 from kingcupvane.connection.messages import Stamp
 from kingcupvane.process.summary import UsageTotals, summarize
+from kingcupvane.request.load_shedding import PriorityLoad
 from kingcupvane.request.rate_limit import AccountUsage
 from kingcupvane.tests.test_peering import record, report
 
@@ -44,6 +46,17 @@
     assert summary.stamp == Stamp(7)
 
 
+def test_summary_adds_up_the_load_by_priority():
+    reports = [
+        msgspec.structs.replace(
+            report(record(name)), loads={"reads": [PriorityLoad(1, 2.0, 0.5)]}
+        )
+        for name in "ab"
+    ]
+    summary = summarize(reports, UsageTotals(), stamp=Stamp(7))
+    assert summary.loads == {"reads": [PriorityLoad(1, 4.0, 1.0)]}
+
+
 STEPS = st.lists(
     st.tuples(
         st.sampled_from("abc"), st.booleans(), st.integers(0, 9), st.booleans()
