Load shedding: shares follow the refusals of higher priorities

Cause: shares computed from what was served fed back on themselves: each refusal for the share lowered what was served, and with it the share.

Change: the lowest share falls while those above it are refused too often; an overload is more refused than idle slots; only refusals for want of a slot count.

--- a/kingcupvane/process/catalog.py
+++ b/kingcupvane/process/catalog.py
@@ -186,7 +186,9 @@
             quota=quota, log_event=timeline.record
         )
         self.peer_requests = PeerRequests(apply_count=self._set_peer_in_flight)
-        self.load_shedder = LoadShedder(log_event=timeline.record)
+        self.load_shedder = LoadShedder(
+            idle_slots=self._idle_slots, log_event=timeline.record
+        )
         self._views_by_name: dict[str, TargetView] = {}
         self._views_by_service: dict[str, list[TargetView]] = {}
         self._removed_at_by_name: dict[str, float] = {}
@@ -452,6 +454,15 @@
             and view.target.data_centre not in self.evacuated
         )
 
+    def _idle_slots(self, service: str) -> float:
+        """Returns how many slots of a service's usable targets are free."""
+        now = self._clock.now()
+        return sum(
+            max(0.0, view.target.slots - view.load(now))
+            for view in self.views(service)
+            if self._is_usable(view, now)
+        )
+
     def cold_rate(self, service: str) -> float:
         """Returns how many requests a second a cold target tolerates."""
         service_plan = self.plan.services_by_name.get(service)
--- a/kingcupvane/request/load_shedding.py
+++ b/kingcupvane/request/load_shedding.py
@@ -7,9 +7,9 @@
 share: of its requests, only that share may wait for a slot, and no longer than
 the higher priorities can bear. All others may still use free slots.
 
-The slots that are served go to the priorities in their order, but each keeps a
-least share. Every gateway computes the shares from what all gateways report,
-so that they move together without a leader.
+The shares of the lowest priorities fall first, as long as the requests above
+them are refused too often; each keeps a least share. Every gateway moves its
+shares by what all gateways report, so that they move together without a leader.
 """
 
 import math
@@ -33,17 +33,26 @@
 # ends.
 OVERLOAD_BEGIN = 0.05
 OVERLOAD_END = 0.02
+# Refused slots below which no overload begins: a few requests for a single
+# busy target.
+OVERLOAD_SLOTS_MIN = 1.0
 # Least share of a priority, relative to the served share of all requests.
 LEAST_SHARE = 0.4
 # Least part of the served slots that is kept for callers who come back.
 RETURN_ROOM_MIN = 0.1
 # Part of the wait that higher priorities can bear for which the lower ones may
 # wait: the rest is headroom for those that arrive later.
-LOWER_PRIORITY_WAIT = 0.5
-# Shortest interval between two computations of the shares, in seconds, and the
-# time constant with which they follow the load.
+LOWER_PRIORITY_WAIT = 0.75
+# Refused part of the higher priorities at which the share of a lower one rests.
+PRESSURE_AIM = 0.04
+# Highest speed of a share's change, by the second, and its longest step in
+# seconds.
+SHARE_PER_S = 0.3
+SHARE_STEP_MAX_S = 0.5
+# Weight of the fleet's mean share in a gateway's own: holds them together.
+FLEET_WEIGHT = 0.3
+# Shortest interval between two computations of the shares, in seconds.
 UPDATE_PERIOD_S = 0.2
-SHARE_TIME_CONSTANT_S = 1.0
 HASH_RANGE = 2.0**64
 
 
@@ -55,7 +64,8 @@
     Attributes:
         priority: The priority; 0 is the highest.
         wanted: Slots that all its requests would keep busy.
-        refused: The part of `wanted` that was refused.
+        refused: The part of `wanted` that was refused for want of a slot.
+        allowed: The part of `wanted` that may wait for a slot.
         returning: The part of `wanted` that had been refused before.
         rate: All its requests, by the second.
         refused_rate: The refused ones among them, by the second.
@@ -64,6 +74,7 @@
     priority: int
     wanted: float
     refused: float = 0.0
+    allowed: float = 0.0
     returning: float = 0.0
     rate: float = 0.0
     refused_rate: float = 0.0
@@ -74,6 +85,7 @@
             self.priority,
             round(self.wanted + other.wanted, 2),
             round(self.refused + other.refused, 2),
+            round(self.allowed + other.allowed, 2),
             round(self.returning + other.returning, 2),
             round(self.rate + other.rate, 2),
             round(self.refused_rate + other.refused_rate, 2),
@@ -98,29 +110,60 @@
     }
 
 
-def priority_shares(loads: Iterable[PriorityLoad]) -> dict[int, float]:
-    """Returns the share of each priority's requests that may be served.
+def next_shares(
+    shares: Mapping[int, float],
+    loads: Iterable[PriorityLoad],
+    *,
+    least: float,
+    is_overloaded: bool,
+    elapsed_s: float,
+) -> dict[int, float]:
+    """Returns the shares by priority after a further step.
+
+    The threshold lies in one priority: those above it have their whole share,
+    those below it the least one. It moves while the requests above it are
+    refused too often, or hardly ever.
 
     Args:
-        loads: Load of the whole fleet at one service, by priority.
+        shares: Shares up to now, of all gateways on average.
+        loads: Load of all gateways at one service, by priority.
+        least: Share that every priority keeps.
+        is_overloaded: Whether there are too few slots; else all shares rise.
+        elapsed_s: Time since the last step, in seconds.
     """
     ordered = sorted(loads, key=lambda load: load.priority)
-    wanted = sum(load.wanted for load in ordered)
-    served = wanted - sum(load.refused for load in ordered)
-    if wanted <= 0.0:
-        return {load.priority: 1.0 for load in ordered}
-    least = LEAST_SHARE * _served_share(ordered)
-    left = served - least * wanted
-    shares = {}
-    for load in ordered:
-        beyond_least = (1.0 - least) * load.wanted
-        given = min(beyond_least, max(0.0, left))
-        left -= given
-        share_of_rest = given / beyond_least if beyond_least > 0.0 else 1.0
-        shares[load.priority] = least + (1.0 - least) * share_of_rest
+    shares = {
+        load.priority: max(least, shares.get(load.priority, 1.0))
+        for load in ordered
+    }
+    step = SHARE_PER_S * min(elapsed_s, SHARE_STEP_MAX_S)
+    if not is_overloaded:
+        return {p: min(1.0, share + step) for p, share in shares.items()}
+    for index in reversed(range(1, len(ordered))):
+        priority = ordered[index].priority
+        pressure = _pressure(ordered[:index])
+        if shares[priority] > least and pressure > 0.0:
+            shares[priority] = max(least, shares[priority] - step * pressure)
+            return shares
+    for index, load in enumerate(ordered):
+        share = shares[load.priority]
+        if share < 1.0:
+            pressure = _pressure(ordered[:index])
+            shares[load.priority] = min(1.0, share - step * min(0.0, pressure))
+            return shares
     return shares
 
 
+def _pressure(loads: Iterable[PriorityLoad]) -> float:
+    """Returns whether too many of some requests are refused, from -1 to 1."""
+    loads = list(loads)
+    wanted = sum(load.wanted for load in loads)
+    if wanted <= 0.0:
+        return -1.0
+    refused_part = sum(load.refused for load in loads) / wanted
+    return min(1.0, refused_part / PRESSURE_AIM - 1.0)
+
+
 def _served_share(loads: Iterable[PriorityLoad]) -> float:
     """Returns how often requests are served, whatever their service time."""
     loads = list(loads)
@@ -175,11 +218,14 @@
     """What a gateway knows of the load at a service.
 
     Attributes:
-        is_overloaded: Whether more than a few requests are refused.
+        is_overloaded: Whether more than a few requests are refused for which
+            there are no idle slots.
         wanted: Slots that callers of all gateways want.
         served: The part of `wanted` that was not refused.
         returning: The part of `wanted` that had been refused before.
+        idle_slots: Slots of the service's targets that are free.
         own_part: This gateway's part of what all gateways serve.
+        least_share: Share that every priority keeps.
         shares: Share of each priority that may wait for a slot.
         report_age_s: Age of the oldest report that was used, in seconds.
         updated_at: Monotonic time of the last update, in seconds.
@@ -189,29 +235,34 @@
     wanted: float = 0.0
     served: float = 0.0
     returning: float = 0.0
+    idle_slots: float = 0.0
     own_part: float = 1.0
+    least_share: float = 0.0
     shares: dict[int, float] = field(default_factory=dict)
     report_age_s: float = 0.0
     updated_at: float = float("-inf")
 
-    def room_for_returns(self, slots: float) -> float:
-        """Returns the slots that are left for callers who come back.
-
-        Args:
-            slots: Slots of the usable targets; in an overload, what was served
-                of late tells more.
-        """
-        capacity = self.served if self.is_overloaded else slots
+    @property
+    def room_for_returns(self) -> float:
+        """Slots that this gateway expects to have for returning callers."""
+        capacity = self.served + self.idle_slots
         first_attempts = self.wanted - self.returning
-        return max(capacity - first_attempts, RETURN_ROOM_MIN * capacity)
+        room = max(capacity - first_attempts, RETURN_ROOM_MIN * capacity)
+        return self.own_part * room
 
     def update(
-        self, loads: Iterable[PriorityLoad], *, own_part: float, now: float
+        self,
+        loads: Iterable[PriorityLoad],
+        *,
+        idle_slots: float,
+        own_part: float,
+        now: float,
     ) -> bool:
         """Follows the load; returns whether an overload began or ended.
 
         Args:
             loads: Load of the whole fleet, by priority.
+            idle_slots: Slots of the service's targets that are free.
             own_part: This gateway's part of what all gateways serve.
             now: Monotonic seconds.
         """
@@ -220,35 +271,54 @@
         elapsed_s = now - self.updated_at
         self.updated_at = now
         self.own_part = own_part
+        weight = 1.0 - math.exp(-elapsed_s / LOAD_TIME_CONSTANT_S)
+        self.idle_slots += weight * (idle_slots - self.idle_slots)
         self.wanted = sum(load.wanted for load in loads)
         refused = sum(load.refused for load in loads)
         self.returning = sum(load.returning for load in loads)
         self.served = max(0.0, self.wanted - refused)
-        limit = OVERLOAD_END if was_overloaded else OVERLOAD_BEGIN
-        self.is_overloaded = refused > limit * self.wanted
-        aims = (
-            priority_shares(loads)
-            if self.is_overloaded
-            else {load.priority: 1.0 for load in loads}
+        missing = refused - self.idle_slots
+        if was_overloaded:
+            self.is_overloaded = missing > OVERLOAD_END * self.wanted
+        else:
+            begin = max(OVERLOAD_SLOTS_MIN, OVERLOAD_BEGIN * self.wanted)
+            self.is_overloaded = missing > begin
+        self.least_share = LEAST_SHARE * _served_share(loads)
+        fleet_shares = {
+            load.priority: load.allowed / load.wanted
+            for load in loads
+            if load.wanted > 0.0
+        }
+        self.shares = next_shares(
+            {
+                priority: (1.0 - FLEET_WEIGHT) * self.shares.get(priority, mean)
+                + FLEET_WEIGHT * mean
+                for priority, mean in fleet_shares.items()
+            },
+            loads,
+            least=self.least_share,
+            is_overloaded=self.is_overloaded,
+            elapsed_s=elapsed_s,
         )
-        weight = 1.0 - math.exp(-elapsed_s / SHARE_TIME_CONSTANT_S)
-        for priority, aim in aims.items():
-            share = self.shares.get(priority, 1.0)
-            self.shares[priority] = share + weight * (aim - share)
-        for priority in self.shares.keys() - aims.keys():
-            del self.shares[priority]
         return self.is_overloaded != was_overloaded
 
 
 class LoadShedder:
     """One gateway's shares by service and priority; does no I/O."""
 
-    def __init__(self, *, log_event: Callable[..., None]):
+    def __init__(
+        self,
+        *,
+        idle_slots: Callable[[str], float],
+        log_event: Callable[..., None],
+    ):
         """Starts without load.
 
         Args:
+            idle_slots: Returns how many slots of a service's targets are free.
             log_event: Logs an event; takes its kind and fields.
         """
+        self._idle_slots = idle_slots
         self._log_event = log_event
         self._own_loads: dict[str, dict[int, _OwnLoad]] = {}
         self._reports_by_peer: dict[str, _PeerReport] = {}
@@ -310,6 +380,7 @@
         """Returns this gateway's load, for its peers."""
         reported: dict[str, list[PriorityLoad]] = {}
         for service, by_priority in self._own_loads.items():
+            shares = self._shares(service)
             for priority, load in sorted(by_priority.items()):
                 load.decay(now)
                 if load.wanted < 0.01:
@@ -319,6 +390,7 @@
                         priority,
                         round(load.wanted, 2),
                         round(min(load.refused, load.wanted), 2),
+                        round(shares.get(priority, 1.0) * load.wanted, 2),
                         round(load.returning, 2),
                         round(load.rate, 2),
                         round(min(load.refused_rate, load.rate), 2),
@@ -326,6 +398,10 @@
                 )
         return reported
 
+    def _shares(self, service: str) -> Mapping[int, float]:
+        state = self._states_by_service.get(service)
+        return state.shares if state is not None else {}
+
     def update_peer(
         self, peer: str, loads_by_service: ServiceLoads, now: float
     ) -> None:
@@ -365,12 +441,16 @@
                 )
         loads = add_loads(reports).get(service, [])
         own_part = own_wanted / known_wanted if known_wanted > 0.0 else 1.0
-        if state.update(loads, own_part=own_part, now=now):
+        idle_slots = self._idle_slots(service)
+        if state.update(
+            loads, idle_slots=idle_slots, own_part=own_part, now=now
+        ):
             self._log_event(
                 "overload-began" if state.is_overloaded else "overload-ended",
                 service=service,
                 wanted_slots=round(state.wanted, 1),
                 served_slots=round(state.served, 1),
+                idle_slots=round(state.idle_slots, 1),
                 report_age_s=round(state.report_age_s, 2),
             )
 
@@ -394,22 +474,24 @@
         state = self.state(service, now)
         if not state.is_overloaded or len(state.shares) < 2:
             return math.inf
-        share = state.shares.get(priority, 1.0)
-        if stable_hash(f"share/{request_id}") / HASH_RANGE >= share:
+        draw = stable_hash(f"share/{request_id}") / HASH_RANGE
+        if draw >= state.shares.get(priority, 1.0):
             return 0.0
-        return self._tolerable_wait_s(service, priority, now)
+        wait_s = self._tolerable_wait_s(service, priority, now)
+        is_least = draw < state.least_share
+        return wait_s if is_least else LOWER_PRIORITY_WAIT * wait_s
 
     def _tolerable_wait_s(
         self, service: str, priority: int, now: float
     ) -> float:
-        """Returns a wait that leaves room for all higher priorities."""
+        """Returns the wait that all higher priorities can bear, in seconds."""
         waits_s = (
             wait.wait_s
             for wait in self._tolerable_waits.get(service, {}).values()
             if wait.priority < priority
             and now - wait.counted_at < SILENT_PEER_EXPIRY_S
         )
-        return LOWER_PRIORITY_WAIT * max(0.0, min(waits_s, default=math.inf))
+        return max(0.0, min(waits_s, default=math.inf))
 
 
 def _wanted(loads_by_service: ServiceLoads, service: str) -> float:
--- a/kingcupvane/request/slot_admission.py
+++ b/kingcupvane/request/slot_admission.py
@@ -16,7 +16,6 @@
     WaitDecision,
     make_refusal,
 )
-from kingcupvane.request.load_shedding import ServiceState
 from kingcupvane.request.placement import Candidate
 from kingcupvane.request.returning_callers import ReturnSchedule
 from kingcupvane.request.wait_limit import (
@@ -104,9 +103,11 @@
         service = gateway_request.service
         priority = gateway_request.priority
         service_s = self._service_s(gateway_request)
-        self._catalog.load_shedder.count_refusal(
-            service, priority=priority, service_s=service_s, now=now
-        )
+        decision = gateway_request.wait_decision
+        if decision is not None and not decision.is_admitted:
+            self._catalog.load_shedder.count_refusal(
+                service, priority=priority, service_s=service_s, now=now
+            )
         self._metrics.refusals_by_priority.inc(
             {
                 "service": service,
@@ -142,20 +143,12 @@
             priority=gateway_request.priority,
             request_id=gateway_request.id,
             service_s=service_s,
-            room_slots=self._own_room(service, state, now),
+            room_slots=state.room_for_returns,
             shortest_s=max(RETRY_AFTER_MIN_S, slot_wait_s),
             time_left_s=gateway_request.caller_deadline - now,
             now=now,
         )
 
-    def _own_room(self, service: str, state: ServiceState, now: float) -> float:
-        slots = sum(
-            view.target.slots
-            for view in self._catalog.views(service)
-            if view.accepts_requests(now)
-        )
-        return state.own_part * state.room_for_returns(slots)
-
     def _slot_wait_s(self, service: str, now: float) -> float:
         """Returns the time until a target should have a free slot."""
         queue_service_s = self._catalog.service_times.mean_s(service)
--- a/kingcupvane/tests/test_load_shedding.py
+++ b/kingcupvane/tests/test_load_shedding.py
@@ -12,12 +12,13 @@
 
 from kingcupvane.request.load_shedding import (
     LEAST_SHARE,
+    PRESSURE_AIM,
     REPORT_EXPIRY_S,
     SILENT_PEER_EXPIRY_S,
     LoadShedder,
     PriorityLoad,
     add_loads,
-    priority_shares,
+    next_shares,
 )
 from kingcupvane.request.placement import Candidate, TargetView
 from kingcupvane.request.wait_limit import allowed_wait_s
@@ -46,6 +47,13 @@
     )
 
 
+def make_shedder(*, idle_slots):
+    return LoadShedder(
+        idle_slots=lambda service: idle_slots,
+        log_event=lambda kind, **fields: None,
+    )
+
+
 class Fleet:
     """Gateways with late reports of each other, and targets with queues."""
 
@@ -71,7 +79,8 @@
 
     def start(self):
         return LoadShedder(
-            log_event=lambda kind, **fields: self.events.append(kind)
+            idle_slots=lambda service: self.idle_slots(),
+            log_event=lambda kind, **fields: self.events.append(kind),
         )
 
     def restart(self, index):
@@ -227,6 +236,23 @@
     assert fleet.events.count("overload-ended") == count
 
 
+def test_single_refusals_are_no_overload():
+    shedder = make_shedder(idle_slots=0.0)
+    for step in range(50):
+        now = 0.2 * step
+        shedder.count_request(
+            SERVICE,
+            route="r",
+            priority=1,
+            service_s=0.16,
+            tolerable_wait_s=0.1,
+            is_returning=False,
+            now=now,
+        )
+        shedder.count_refusal(SERVICE, priority=1, service_s=0.16, now=now)
+        assert not shedder.state(SERVICE, now).is_overloaded
+
+
 def test_one_priority_alone_is_not_bounded():
     fleet = Fleet(seed=5)
     fleet.play(10.0, 2.0, part={2: 1.0})
@@ -261,8 +287,17 @@
     assert fleet.refused_while_free == 0
 
 
+def test_no_overload_while_slots_are_idle():
+    """Queues at single targets are no reason to prefer any priority."""
+    shedder = make_shedder(idle_slots=8.0)
+    shedder.update_peer("p", {SERVICE: [PriorityLoad(1, 30.0, 7.0)]}, 0.0)
+    assert not shedder.state(SERVICE, 0.1).is_overloaded
+    shedder.update_peer("p", {SERVICE: [PriorityLoad(1, 30.0, 15.0)]}, 0.2)
+    assert shedder.state(SERVICE, 0.4).is_overloaded
+
+
 def test_silent_peer_no_longer_counts_as_load_but_as_one_that_serves():
-    shedder = LoadShedder(log_event=lambda kind, **fields: None)
+    shedder = make_shedder(idle_slots=0.0)
     peer_load = {SERVICE: [PriorityLoad(1, 30.0, 20.0)]}
     shedder.update_peer("peer", peer_load, 0.0)
     shedder.count_request(
@@ -295,27 +330,58 @@
     assert gone.own_part == 1.0
 
 
-def test_served_slots_go_to_the_priorities_in_order():
-    shares = priority_shares(
-        [
-            PriorityLoad(2, 40.0, 30.0, rate=40.0, refused_rate=30.0),
-            PriorityLoad(0, 20.0, 10.0, rate=20.0, refused_rate=10.0),
-            PriorityLoad(1, 40.0, 10.0, rate=40.0, refused_rate=10.0),
-        ]
+LEAST = 0.2
+
+
+def step(shares, refused, *, is_overloaded=True):
+    """Returns the shares after a step; all priorities want the same."""
+    loads = [
+        PriorityLoad(priority, 10.0, part, rate=10.0, refused_rate=part)
+        for priority, part in refused.items()
+    ]
+    return next_shares(
+        shares,
+        loads,
+        least=LEAST,
+        is_overloaded=is_overloaded,
+        elapsed_s=0.2,
     )
-    least = LEAST_SHARE * 0.5
-    assert shares[0] == pytest.approx(1.0)
-    assert least < shares[1] < 1.0
-    assert shares[2] == pytest.approx(least)
-    given = 20.0 * shares[0] + 40.0 * shares[1] + 40.0 * shares[2]
-    assert given == pytest.approx(50.0)
+
+
+def test_the_lowest_share_falls_first():
+    refused = {0: 1.0, 1: 1.0, 2: 1.0}
+    shares = step({0: 1.0, 1: 1.0, 2: 1.0}, refused)
+    assert shares[0] == shares[1] == 1.0
+    assert shares[2] < 1.0
+    shares = step({0: 1.0, 1: 1.0, 2: LEAST}, refused)
+    assert shares[2] == LEAST
+    assert shares[1] < 1.0
+
+
+def test_the_highest_share_rises_first():
+    shares = step({0: 1.0, 1: 0.6, 2: LEAST}, {0: 0.0, 1: 3.0, 2: 5.0})
+    assert shares[1] > 0.6
+    assert shares[2] == LEAST
+
+
+def test_all_shares_rise_without_an_overload():
+    shares = step({0: 1.0, 1: 0.6}, {0: 0.0, 1: 3.0}, is_overloaded=False)
+    assert shares[1] > 0.6
+
+
+def test_shares_rest_while_few_urgent_requests_are_refused():
+    before = {0: 1.0, 1: 0.6}
+    assert step(before, {0: PRESSURE_AIM * 10.0, 1: 5.0}) == before
 
 
 def test_reports_add_up_by_priority():
     sums = add_loads(
         [
-            {"a": [PriorityLoad(1, 2.0, 1.0, 0.5)], "b": []},
+            {"a": [PriorityLoad(1, 2.0, 1.0, 1.5, 0.5)], "b": []},
             {"a": [PriorityLoad(0, 4.0), PriorityLoad(1, 1.0)]},
         ]
     )
-    assert sums["a"] == [PriorityLoad(0, 4.0), PriorityLoad(1, 3.0, 1.0, 0.5)]
+    assert sums["a"] == [
+        PriorityLoad(0, 4.0),
+        PriorityLoad(1, 3.0, 1.0, 1.5, 0.5),
+    ]
--- a/kingcupvane/tests/test_returning_callers.py
+++ b/kingcupvane/tests/test_returning_callers.py
@@ -42,7 +42,10 @@
 def own_parts(gateway_count, rng):
     """Returns each gateway's part as it follows from what all report."""
     shedders = {
-        f"g{index}": LoadShedder(log_event=lambda kind, **fields: None)
+        f"g{index}": LoadShedder(
+            idle_slots=lambda service: 0.0,
+            log_event=lambda kind, **fields: None,
+        )
         for index in range(gateway_count)
     }
     for shedder in shedders.values():
