Load shedding keeps short queues; in-time returns first

Cause: requests beyond the share of their priority got free slots only, so that targets idled between reports; paced returns came too late for the objective.

Change: such requests may wait 0.4 of what higher priorities can bear; three quarters of the room for returns is for callers who can still be in time; the share moves by the refusals above it relative to its own.

--- a/kingcupvane/request/load_shedding.py
+++ b/kingcupvane/request/load_shedding.py
@@ -4,8 +4,8 @@
 a service, and together they want more slots than there are. The requests of
 low priority may have the longer latency objective, so that they accept queues
 in which those of high priority miss theirs. Therefore each priority gets a
-share: of its requests, only that share may wait for a slot, and no longer than
-the higher priorities can bear. All others may still use free slots.
+share: of its requests, only that share may wait for a slot nearly as long as
+the higher priorities can bear. All others wait less, or use free slots.
 
 The shares of the lowest priorities fall first, as long as the requests above
 them are refused too often; each keeps a least share. Every gateway moves its
@@ -39,15 +39,20 @@
 # Least share of a priority, relative to the served share of all requests.
 LEAST_SHARE = 0.4
 # Least part of the served slots that is kept for callers who come back.
-RETURN_ROOM_MIN = 0.1
-# Part of the wait that higher priorities can bear for which the lower ones may
-# wait: the rest is headroom for those that arrive later.
-LOWER_PRIORITY_WAIT = 0.75
-# Refused part of the higher priorities at which the share of a lower one rests.
-PRESSURE_AIM = 0.04
-# Highest speed of a share's change, by the second, and its longest step in
-# seconds.
+RETURN_ROOM_MIN = 0.4
+# Part of the wait that higher priorities can bear for which requests within the
+# share of a lower one may wait, and those beyond it: with no queue at all,
+# targets would idle until word of their free slots arrives.
+SHARE_WAIT = 0.9
+BEYOND_SHARE_WAIT = 0.4
+# Refused part of the higher priorities at which the share of a lower one rests:
+# relative to the refused part of the lower one, and at least.
+PRESSURE_AIM_RATIO = 0.1
+PRESSURE_AIM_MIN = 0.02
+# Highest speed of a share's change, by the second; in an overload it rises more
+# slowly. Its longest step, in seconds.
 SHARE_PER_S = 0.3
+OVERLOAD_RISE_PER_S = 0.1
 SHARE_STEP_MAX_S = 0.5
 # Weight of the fleet's mean share in a gateway's own: holds them together.
 FLEET_WEIGHT = 0.3
@@ -136,32 +141,38 @@
         load.priority: max(least, shares.get(load.priority, 1.0))
         for load in ordered
     }
-    step = SHARE_PER_S * min(elapsed_s, SHARE_STEP_MAX_S)
+    elapsed_s = min(elapsed_s, SHARE_STEP_MAX_S)
+    step = SHARE_PER_S * elapsed_s
     if not is_overloaded:
         return {p: min(1.0, share + step) for p, share in shares.items()}
     for index in reversed(range(1, len(ordered))):
         priority = ordered[index].priority
-        pressure = _pressure(ordered[:index])
+        pressure = _pressure(ordered[:index], ordered[index])
         if shares[priority] > least and pressure > 0.0:
             shares[priority] = max(least, shares[priority] - step * pressure)
             return shares
     for index, load in enumerate(ordered):
         share = shares[load.priority]
         if share < 1.0:
-            pressure = _pressure(ordered[:index])
-            shares[load.priority] = min(1.0, share - step * min(0.0, pressure))
+            pressure = _pressure(ordered[:index], load)
+            rise = OVERLOAD_RISE_PER_S * elapsed_s * max(0.0, -pressure)
+            shares[load.priority] = min(1.0, share + rise)
             return shares
     return shares
 
 
-def _pressure(loads: Iterable[PriorityLoad]) -> float:
-    """Returns whether too many of some requests are refused, from -1 to 1."""
+def _pressure(higher: Iterable[PriorityLoad], lower: PriorityLoad) -> float:
+    """Returns whether too many higher requests are refused, from -1 to 1."""
+    refused_part = _refused_part(higher)
+    aim = PRESSURE_AIM_RATIO * _refused_part([lower])
+    return min(1.0, refused_part / max(PRESSURE_AIM_MIN, aim) - 1.0)
+
+
+def _refused_part(loads: Iterable[PriorityLoad]) -> float:
     loads = list(loads)
     wanted = sum(load.wanted for load in loads)
-    if wanted <= 0.0:
-        return -1.0
-    refused_part = sum(load.refused for load in loads) / wanted
-    return min(1.0, refused_part / PRESSURE_AIM - 1.0)
+    refused = sum(load.refused for load in loads)
+    return refused / wanted if wanted > 0.0 else 0.0
 
 
 def _served_share(loads: Iterable[PriorityLoad]) -> float:
@@ -225,7 +236,6 @@
         returning: The part of `wanted` that had been refused before.
         idle_slots: Slots of the service's targets that are free.
         own_part: This gateway's part of what all gateways serve.
-        least_share: Share that every priority keeps.
         shares: Share of each priority that may wait for a slot.
         report_age_s: Age of the oldest report that was used, in seconds.
         updated_at: Monotonic time of the last update, in seconds.
@@ -237,7 +247,6 @@
     returning: float = 0.0
     idle_slots: float = 0.0
     own_part: float = 1.0
-    least_share: float = 0.0
     shares: dict[int, float] = field(default_factory=dict)
     report_age_s: float = 0.0
     updated_at: float = float("-inf")
@@ -283,7 +292,6 @@
         else:
             begin = max(OVERLOAD_SLOTS_MIN, OVERLOAD_BEGIN * self.wanted)
             self.is_overloaded = missing > begin
-        self.least_share = LEAST_SHARE * _served_share(loads)
         fleet_shares = {
             load.priority: load.allowed / load.wanted
             for load in loads
@@ -296,7 +304,7 @@
                 for priority, mean in fleet_shares.items()
             },
             loads,
-            least=self.least_share,
+            least=LEAST_SHARE * _served_share(loads),
             is_overloaded=self.is_overloaded,
             elapsed_s=elapsed_s,
         )
@@ -459,8 +467,7 @@
     ) -> float:
         """Returns how long a request may wait because of its priority.
 
-        That is without bound unless several priorities compete in an overload,
-        and no time at all for requests beyond the share of their priority.
+        That is without bound unless several priorities compete in an overload.
 
         Args:
             service: Name of the service.
@@ -475,11 +482,10 @@
         if not state.is_overloaded or len(state.shares) < 2:
             return math.inf
         draw = stable_hash(f"share/{request_id}") / HASH_RANGE
-        if draw >= state.shares.get(priority, 1.0):
-            return 0.0
         wait_s = self._tolerable_wait_s(service, priority, now)
-        is_least = draw < state.least_share
-        return wait_s if is_least else LOWER_PRIORITY_WAIT * wait_s
+        is_within_share = draw < state.shares.get(priority, 1.0)
+        part = SHARE_WAIT if is_within_share else BEYOND_SHARE_WAIT
+        return part * wait_s
 
     def _tolerable_wait_s(
         self, service: str, priority: int, now: float
--- a/kingcupvane/request/returning_callers.py
+++ b/kingcupvane/request/returning_callers.py
@@ -4,8 +4,9 @@
 its callers come back together and are refused again, for good. Each gateway
 therefore promises its callers one return after the other, at the pace of its
 part of the room that the service is expected to have, so that the promises of
-all gateways for a moment add up to that room. Callers for whom there is no room
-in time come back as late as they may: the overload may be over then.
+all gateways for a moment add up to that room. Most of the room is for callers
+who can still be served within their latency objective. Those for whom there is
+no room come back as late as they may: the overload may be over then.
 """
 
 import math
@@ -18,6 +19,8 @@
 RETURN_DELAY_SHARE = 0.32
 # Callers without room come back in the last part of that time, spread over it.
 NO_ROOM_SPREAD = 0.33
+# Part of the room that is for callers who return within their objective.
+IN_TIME_PART = 0.75
 HASH_RANGE = 2.0**64
 
 
@@ -40,6 +43,9 @@
             default=-math.inf,
         )
 
+    def start(self, priority: int, at: float) -> None:
+        self.free_at_by_priority[priority] = at
+
     def take(self, priority: int, at: float, interval_s: float) -> None:
         for other in self.free_at_by_priority:
             if other > priority:
@@ -52,7 +58,8 @@
 
     def __init__(self):
         """Starts without promises."""
-        self._timetables_by_service: dict[str, _Timetable] = {}
+        self._in_time_by_service: dict[str, _Timetable] = {}
+        self._late_by_service: dict[str, _Timetable] = {}
 
     def delay_s(
         self,
@@ -63,6 +70,7 @@
         service_s: float,
         room_slots: float,
         shortest_s: float,
+        in_time_s: float,
         time_left_s: float,
         now: float,
     ) -> float:
@@ -76,22 +84,28 @@
             room_slots: Slots that this gateway expects to have for returning
                 callers.
             shortest_s: Expected wait for a slot, in seconds.
+            in_time_s: Time within which it must return to meet its objective,
+                in seconds; not positive if it can't.
             time_left_s: Time left to the caller's deadline, in seconds.
             now: Monotonic seconds.
         """
         longest_s = RETURN_DELAY_SHARE * max(0.0, time_left_s)
         shortest_s = min(shortest_s, longest_s)
         spread = stable_hash(f"return/{request_id}") / HASH_RANGE
-        timetable = self._timetables_by_service.setdefault(
-            service, _Timetable()
-        )
-        interval_s = service_s / room_slots if room_slots > 0.0 else math.inf
-        earliest = now + shortest_s
-        at = timetable.free_at(priority)
-        if at < earliest:
-            # Gateways whose first promises coincide must not start in step.
-            at = earliest + spread * interval_s
-        if at > now + longest_s:
-            return longest_s * (1.0 - NO_ROOM_SPREAD * spread)
-        timetable.take(priority, at, interval_s)
-        return at - now
+        for timetables, part, until_s in (
+            (self._in_time_by_service, IN_TIME_PART, min(in_time_s, longest_s)),
+            (self._late_by_service, 1.0 - IN_TIME_PART, longest_s),
+        ):
+            timetable = timetables.setdefault(service, _Timetable())
+            room = part * room_slots
+            interval_s = service_s / room if room > 0.0 else math.inf
+            at = timetable.free_at(priority)
+            earliest = now + shortest_s
+            if at < earliest:
+                # Gateways whose first promises coincide must not start in step.
+                at = earliest + spread * interval_s
+                timetable.start(priority, at)
+            if at <= now + until_s:
+                timetable.take(priority, at, interval_s)
+                return at - now
+        return longest_s * (1.0 - NO_ROOM_SPREAD * spread)
--- a/kingcupvane/request/slot_admission.py
+++ b/kingcupvane/request/slot_admission.py
@@ -145,10 +145,26 @@
             service_s=service_s,
             room_slots=state.room_for_returns,
             shortest_s=max(RETRY_AFTER_MIN_S, slot_wait_s),
+            in_time_s=self._in_time_s(gateway_request, service_s, now),
             time_left_s=gateway_request.caller_deadline - now,
             now=now,
         )
 
+    def _in_time_s(
+        self, gateway_request: GatewayRequest, service_s: float, now: float
+    ) -> float:
+        """Returns after how long a caller can still return in time, in seconds.
+
+        Callers who have returned already have spent an unknown time before.
+        """
+        if gateway_request.is_caller_retry:
+            return 0.0
+        due_at = (
+            gateway_request.arrived_at
+            + gateway_request.route.latency_objective_s
+        )
+        return due_at - service_s - CALLER_ROUND_TRIP_S - now
+
     def _slot_wait_s(self, service: str, now: float) -> float:
         """Returns the time until a target should have a free slot."""
         queue_service_s = self._catalog.service_times.mean_s(service)
