Returns within the objective compete for all slots

Cause: a caller who returns too late for the objective takes a slot from a first attempt that would have met it.

--- a/kingcupvane/request/load_shedding.py
+++ b/kingcupvane/request/load_shedding.py
@@ -19,6 +19,7 @@
 import msgspec
 
 from kingcupvane.hashing import stable_hash
+from kingcupvane.request.returning_callers import ReturnRoom
 
 # Time constant of the moving averages of load, in seconds.
 LOAD_TIME_CONSTANT_S = 1.0
@@ -38,8 +39,9 @@
 OVERLOAD_SLOTS_MIN = 1.0
 # Least share of a priority, relative to the served share of all requests.
 LEAST_SHARE = 0.4
-# Least part of the served slots that is kept for callers who come back.
-RETURN_ROOM_MIN = 0.4
+# Least part of the served slots for callers who come back too late for their
+# objective.
+LATE_ROOM_MIN = 0.1
 # Part of the wait that higher priorities can bear for which requests within the
 # share of a lower one may wait, and those beyond it: with no queue at all,
 # targets would idle until word of their free slots arrives.
@@ -252,12 +254,15 @@
     updated_at: float = float("-inf")
 
     @property
-    def room_for_returns(self) -> float:
-        """Slots that this gateway expects to have for returning callers."""
+    def room_for_returns(self) -> ReturnRoom:
+        """What this gateway expects to have for returning callers."""
         capacity = self.served + self.idle_slots
         first_attempts = self.wanted - self.returning
-        room = max(capacity - first_attempts, RETURN_ROOM_MIN * capacity)
-        return self.own_part * room
+        late = max(capacity - first_attempts, LATE_ROOM_MIN * capacity)
+        return ReturnRoom(
+            in_time_slots=self.own_part * capacity,
+            late_slots=self.own_part * late,
+        )
 
     def update(
         self,
--- a/kingcupvane/request/returning_callers.py
+++ b/kingcupvane/request/returning_callers.py
@@ -4,9 +4,10 @@
 its callers come back together and are refused again, for good. Each gateway
 therefore promises its callers one return after the other, at the pace of its
 part of the room that the service is expected to have, so that the promises of
-all gateways for a moment add up to that room. Most of the room is for callers
-who can still be served within their latency objective. Those for whom there is
-no room come back as late as they may: the overload may be over then.
+all gateways for a moment add up to that room. Callers who can still be served
+within their latency objective compete with first attempts on equal terms, so
+that all slots are open to them; the others get what is left. Those for whom
+there is no room come back as late as they may: the overload may be over then.
 """
 
 import math
@@ -19,11 +20,22 @@
 RETURN_DELAY_SHARE = 0.32
 # Callers without room come back in the last part of that time, spread over it.
 NO_ROOM_SPREAD = 0.33
-# Part of the room that is for callers who return within their objective.
-IN_TIME_PART = 0.75
 HASH_RANGE = 2.0**64
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReturnRoom:
+    """Slots that a gateway expects to have for returning callers.
+
+    Attributes:
+        in_time_slots: For those who can still meet their latency objective.
+        late_slots: For the others.
+    """
+
+    in_time_slots: float
+    late_slots: float
+
+
 @dataclass(kw_only=True, slots=True)
 class _Timetable:
     """Next times of return at a service, in monotonic seconds, by priority.
@@ -68,7 +80,7 @@
         priority: int,
         request_id: str,
         service_s: float,
-        room_slots: float,
+        room: ReturnRoom,
         shortest_s: float,
         in_time_s: float,
         time_left_s: float,
@@ -81,8 +93,7 @@
             priority: Priority of the request.
             request_id: Id of the caller's attempt; seeds the spread.
             service_s: Service time of the request, in seconds.
-            room_slots: Slots that this gateway expects to have for returning
-                callers.
+            room: What this gateway expects to have for returning callers.
             shortest_s: Expected wait for a slot, in seconds.
             in_time_s: Time within which it must return to meet its objective,
                 in seconds; not positive if it can't.
@@ -92,13 +103,16 @@
         longest_s = RETURN_DELAY_SHARE * max(0.0, time_left_s)
         shortest_s = min(shortest_s, longest_s)
         spread = stable_hash(f"return/{request_id}") / HASH_RANGE
-        for timetables, part, until_s in (
-            (self._in_time_by_service, IN_TIME_PART, min(in_time_s, longest_s)),
-            (self._late_by_service, 1.0 - IN_TIME_PART, longest_s),
+        for timetables, slots, until_s in (
+            (
+                self._in_time_by_service,
+                room.in_time_slots,
+                min(in_time_s, longest_s),
+            ),
+            (self._late_by_service, room.late_slots, longest_s),
         ):
             timetable = timetables.setdefault(service, _Timetable())
-            room = part * room_slots
-            interval_s = service_s / room if room > 0.0 else math.inf
+            interval_s = service_s / slots if slots > 0.0 else math.inf
             at = timetable.free_at(priority)
             earliest = now + shortest_s
             if at < earliest:
--- a/kingcupvane/request/slot_admission.py
+++ b/kingcupvane/request/slot_admission.py
@@ -143,7 +143,7 @@
             priority=gateway_request.priority,
             request_id=gateway_request.id,
             service_s=service_s,
-            room_slots=state.room_for_returns,
+            room=state.room_for_returns,
             shortest_s=max(RETRY_AFTER_MIN_S, slot_wait_s),
             in_time_s=self._in_time_s(gateway_request, service_s, now),
             time_left_s=gateway_request.caller_deadline - now,
--- a/kingcupvane/tests/test_returning_callers.py
+++ b/kingcupvane/tests/test_returning_callers.py
@@ -6,8 +6,8 @@
 
 from kingcupvane.request.load_shedding import LoadShedder
 from kingcupvane.request.returning_callers import (
-    IN_TIME_PART,
     RETURN_DELAY_SHARE,
+    ReturnRoom,
     ReturnSchedule,
 )
 
@@ -15,7 +15,8 @@
 TIME_LEFT_S = 6.0
 ROOM_SLOTS = 120.0
 STEP_S = 0.25
-LATE_PART = 1.0 - IN_TIME_PART
+# Part of the room that is for late returns.
+LATE_PART = 0.25
 SHORTEST_S = 0.1
 LONGEST_S = RETURN_DELAY_SHARE * TIME_LEFT_S
 # Callers without room come back after that part of the longest delay.
@@ -36,7 +37,10 @@
         "reads",
         priority=priority,
         request_id=str(request_id),
-        room_slots=room_slots,
+        room=ReturnRoom(
+            in_time_slots=(1.0 - LATE_PART) * room_slots,
+            late_slots=LATE_PART * room_slots,
+        ),
         now=now,
         **arguments,
     )
@@ -134,7 +138,7 @@
             returns += promised
             in_time += sum(at <= now + in_time_s for at in promised)
     room = ROOM_SLOTS / SERVICE_S
-    assert in_time >= 0.6 * IN_TIME_PART * room * 2.0
+    assert in_time >= 0.6 * (1.0 - LATE_PART) * room * 2.0
     at = SHORTEST_S
     while at + STEP_S <= NO_ROOM_FROM_S:
         assert count_between(returns, at, at + STEP_S) <= 1.4 * STEP_S * room
