Load shedding: the wait of lower priorities is a part of their own limit

Cause: a bound of its own cut the waits of requests for warm affinity keys only, those for cold ones are allowed less anyway.

--- a/kingcupvane/request/gateway_request.py
+++ b/kingcupvane/request/gateway_request.py
@@ -78,8 +78,8 @@
     Attributes:
         wait_s: Its expected wait, in seconds.
         limit_s: The longest wait that it is allowed, in seconds.
-        cause: What sets that limit: `wait` for the latency objective or the
-            deadline, `share` where only a share of its priority may wait.
+        cause: Why it may not: `wait` for its latency objective or deadline,
+            `share` for its priority alone.
         share: Share of its priority's requests that may wait.
         is_overloaded: Whether the service refuses more than a few requests.
         report_age_s: Age of the oldest report behind that, in seconds.
--- a/kingcupvane/request/load_shedding.py
+++ b/kingcupvane/request/load_shedding.py
@@ -42,9 +42,9 @@
 # Least part of the served slots for callers who come back too late for their
 # objective.
 LATE_ROOM_MIN = 0.1
-# Part of the wait that higher priorities can bear for which requests within the
-# share of a lower one may wait, and those beyond it: with no queue at all,
-# targets would idle until word of their free slots arrives.
+# Part of the allowed wait that requests within the share of their priority
+# have, and those beyond it: with no queue at all, targets would idle until word
+# of their free slots arrives.
 SHARE_WAIT = 0.9
 BEYOND_SHARE_WAIT = 0.4
 # Refused part of the higher priorities at which the share of a lower one rests:
@@ -467,30 +467,39 @@
                 report_age_s=round(state.report_age_s, 2),
             )
 
-    def wait_bound_s(
-        self, service: str, *, priority: int, request_id: str, now: float
+    def wait_limit_s(
+        self,
+        service: str,
+        *,
+        priority: int,
+        request_id: str,
+        limit_s: float,
+        now: float,
     ) -> float:
-        """Returns how long a request may wait because of its priority.
-
-        That is without bound unless several priorities compete in an overload.
+        """Returns how long a request may wait, its priority considered.
 
         Args:
             service: Name of the service.
             priority: Priority of the request.
             request_id: Id of the caller's attempt; decides the draw.
+            limit_s: How long it might wait otherwise, in seconds.
             now: Monotonic seconds.
 
         Returns:
-            The time in seconds.
+            The time in seconds; `limit_s` for the highest priority and unless
+            several priorities compete in an overload.
         """
         state = self.state(service, now)
-        if not state.is_overloaded or len(state.shares) < 2:
-            return math.inf
+        if not state.is_overloaded or priority == min(
+            state.shares, default=priority
+        ):
+            return limit_s
         draw = stable_hash(f"share/{request_id}") / HASH_RANGE
-        wait_s = self._tolerable_wait_s(service, priority, now)
         is_within_share = draw < state.shares.get(priority, 1.0)
         part = SHARE_WAIT if is_within_share else BEYOND_SHARE_WAIT
-        return part * wait_s
+        return part * min(
+            limit_s, self._tolerable_wait_s(service, priority, now)
+        )
 
     def _tolerable_wait_s(
         self, service: str, priority: int, now: float
--- a/kingcupvane/request/slot_admission.py
+++ b/kingcupvane/request/slot_admission.py
@@ -80,16 +80,17 @@
             is_caller_retry=gateway_request.is_caller_retry,
             is_overloaded=state.is_overloaded,
         )
-        bound_s = shedder.wait_bound_s(
+        limit_for_priority_s = shedder.wait_limit_s(
             service,
             priority=priority,
             request_id=gateway_request.id,
+            limit_s=limit_s,
             now=now,
         )
         return WaitDecision(
             wait_s=candidate.wait_s,
-            limit_s=min(limit_s, bound_s),
-            cause="wait" if limit_s <= bound_s else "share",
+            limit_s=limit_for_priority_s,
+            cause="share" if candidate.wait_s <= limit_s else "wait",
             share=state.shares.get(priority, 1.0),
             is_overloaded=state.is_overloaded,
             report_age_s=state.report_age_s,
