--- a/kingcupvane/tests/test_pipeline.py
+++ b/kingcupvane/tests/test_pipeline.py
@@ -955,17 +955,24 @@
         gateway.clock.advance(0.25)
     _, _, fields = gateway.logged_events[-1]
     assert (fields["cause"], fields["overload"]) == ("wait", True)
-    # A free slot is used whatever the priority.
-    fill_targets(gateway, requests=0)
-    assert gateway.send_request()[0] == 200
     gateway.logged_events.clear()
     # One request in the queue: only those beyond the share are refused.
+    sent = gateway.pool.sent
+
+    def answer(name):
+        return response(attempt=dict(sent[-1][1].headers)[b"attempt"])
+
+    gateway.pool.script = [answer] * 20
     refuse(gateway, 20, requests=4)
     refusals = [fields for _, _, fields in gateway.logged_events]
     by_share = [f for f in refusals if f.get("cause") == "share"]
     assert 0 < len(by_share) < 20
     assert by_share[0]["share"] < 0.5
     assert by_share[0]["priority"] == 1
+    # A free slot is used whatever the priority.
+    gateway.pool.script.clear()
+    fill_targets(gateway, requests=0)
+    assert gateway.send_request()[0] == 200
     text = gateway.metrics.text().decode()
     assert "kingcupvane_no_room_refusals_total" in text
 
