--- a/kingcupvane/connection/messages.py
+++ b/kingcupvane/connection/messages.py
@@ -13,7 +13,7 @@
 from kingcupvane.process.item import Item
 from kingcupvane.request.announcements import TargetInstance
 from kingcupvane.request.crashes import SuspicionNotice
-from kingcupvane.request.load_shedding import PriorityLoad
+from kingcupvane.request.priority_load import PriorityLoad
 from kingcupvane.request.rate_limit import AccountUsage
 from kingcupvane.version.canary_analysis import Tally
 from kingcupvane.version.move import MoveState
--- a/kingcupvane/process/summary.py
+++ b/kingcupvane/process/summary.py
@@ -9,7 +9,7 @@
     MemberStatus,
     Stamp,
 )
-from kingcupvane.request.load_shedding import add_loads
+from kingcupvane.request.priority_load import add_loads
 from kingcupvane.request.rate_limit import AccountUsage
 
 
--- a/kingcupvane/request/load_shedding.py
+++ b/kingcupvane/request/load_shedding.py
@@ -16,13 +16,21 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
-import msgspec
-
 from kingcupvane.hashing import stable_hash
+from kingcupvane.request.priority_load import (
+    LOAD_TIME_CONSTANT_S,
+    LoadCounter,
+    PriorityLoad,
+    ServiceLoads,
+    add_loads,
+)
+from kingcupvane.request.priority_shares import (
+    LEAST_SHARE,
+    next_shares,
+    served_share,
+)
 from kingcupvane.request.returning_callers import ReturnRoom
 
-# Time constant of the moving averages of load, in seconds.
-LOAD_TIME_CONSTANT_S = 1.0
 # Age from which a peer's report says nothing about the load any more, in
 # seconds.
 REPORT_EXPIRY_S = 2.0
@@ -37,8 +45,6 @@
 # Refused slots below which no overload begins: a few requests for a single
 # busy target.
 OVERLOAD_SLOTS_MIN = 1.0
-# Least share of a priority, relative to the served share of all requests.
-LEAST_SHARE = 0.4
 # Least part of the served slots for callers who come back too late for their
 # objective.
 LATE_ROOM_MIN = 0.1
@@ -47,15 +53,6 @@
 # of their free slots arrives.
 SHARE_WAIT = 0.9
 BEYOND_SHARE_WAIT = 0.4
-# Refused part of the higher priorities at which the share of a lower one rests:
-# relative to the refused part of the lower one, and at least.
-PRESSURE_AIM_RATIO = 0.1
-PRESSURE_AIM_MIN = 0.02
-# Highest speed of a share's change, by the second; in an overload it rises more
-# slowly. Its longest step, in seconds.
-SHARE_PER_S = 0.3
-OVERLOAD_RISE_PER_S = 0.1
-SHARE_STEP_MAX_S = 0.5
 # Weight of the fleet's mean share in a gateway's own: holds them together.
 FLEET_WEIGHT = 0.3
 # Shortest interval between two computations of the shares, in seconds.
@@ -63,152 +60,6 @@
 HASH_RANGE = 2.0**64
 
 
-class PriorityLoad(msgspec.Struct, frozen=True, array_like=True):
-    """Load of the requests of one priority at a service.
-
-    Slots are requests a second times their service time.
-
-    Attributes:
-        priority: The priority; 0 is the highest.
-        wanted: Slots that all its requests would keep busy.
-        refused: The part of `wanted` that was refused for want of a slot.
-        allowed: The part of `wanted` that may wait for a slot.
-        returning: The part of `wanted` that had been refused before.
-        rate: All its requests, by the second.
-        refused_rate: The refused ones among them, by the second.
-    """
-
-    priority: int
-    wanted: float
-    refused: float = 0.0
-    allowed: float = 0.0
-    returning: float = 0.0
-    rate: float = 0.0
-    refused_rate: float = 0.0
-
-    def __add__(self, other: "PriorityLoad") -> "PriorityLoad":
-        """Returns the sum of two loads of the same priority."""
-        return PriorityLoad(
-            self.priority,
-            round(self.wanted + other.wanted, 2),
-            round(self.refused + other.refused, 2),
-            round(self.allowed + other.allowed, 2),
-            round(self.returning + other.returning, 2),
-            round(self.rate + other.rate, 2),
-            round(self.refused_rate + other.refused_rate, 2),
-        )
-
-
-ServiceLoads = Mapping[str, Iterable[PriorityLoad]]
-
-
-def add_loads(reports: Iterable[ServiceLoads]) -> dict[str, list[PriorityLoad]]:
-    """Returns the sums of several reports, by service and priority."""
-    sums: dict[str, dict[int, PriorityLoad]] = {}
-    for report in reports:
-        for service, loads in report.items():
-            by_priority = sums.setdefault(service, {})
-            for load in loads:
-                known = by_priority.get(load.priority)
-                by_priority[load.priority] = known + load if known else load
-    return {
-        service: [by_priority[priority] for priority in sorted(by_priority)]
-        for service, by_priority in sums.items()
-    }
-
-
-def next_shares(
-    shares: Mapping[int, float],
-    loads: Iterable[PriorityLoad],
-    *,
-    least: float,
-    is_overloaded: bool,
-    elapsed_s: float,
-) -> dict[int, float]:
-    """Returns the shares by priority after a further step.
-
-    The threshold lies in one priority: those above it have their whole share,
-    those below it the least one. It moves while the requests above it are
-    refused too often, or hardly ever.
-
-    Args:
-        shares: Shares up to now, of all gateways on average.
-        loads: Load of all gateways at one service, by priority.
-        least: Share that every priority keeps.
-        is_overloaded: Whether there are too few slots; else all shares rise.
-        elapsed_s: Time since the last step, in seconds.
-    """
-    ordered = sorted(loads, key=lambda load: load.priority)
-    shares = {
-        load.priority: max(least, shares.get(load.priority, 1.0))
-        for load in ordered
-    }
-    elapsed_s = min(elapsed_s, SHARE_STEP_MAX_S)
-    step = SHARE_PER_S * elapsed_s
-    if not is_overloaded:
-        return {p: min(1.0, share + step) for p, share in shares.items()}
-    for index in reversed(range(1, len(ordered))):
-        priority = ordered[index].priority
-        pressure = _pressure(ordered[:index], ordered[index])
-        if shares[priority] > least and pressure > 0.0:
-            shares[priority] = max(least, shares[priority] - step * pressure)
-            return shares
-    for index, load in enumerate(ordered):
-        share = shares[load.priority]
-        if share < 1.0:
-            pressure = _pressure(ordered[:index], load)
-            rise = OVERLOAD_RISE_PER_S * elapsed_s * max(0.0, -pressure)
-            shares[load.priority] = min(1.0, share + rise)
-            return shares
-    return shares
-
-
-def _pressure(higher: Iterable[PriorityLoad], lower: PriorityLoad) -> float:
-    """Returns whether too many higher requests are refused, from -1 to 1."""
-    refused_part = _refused_part(higher)
-    aim = PRESSURE_AIM_RATIO * _refused_part([lower])
-    return min(1.0, refused_part / max(PRESSURE_AIM_MIN, aim) - 1.0)
-
-
-def _refused_part(loads: Iterable[PriorityLoad]) -> float:
-    loads = list(loads)
-    wanted = sum(load.wanted for load in loads)
-    refused = sum(load.refused for load in loads)
-    return refused / wanted if wanted > 0.0 else 0.0
-
-
-def _served_share(loads: Iterable[PriorityLoad]) -> float:
-    """Returns how often requests are served, whatever their service time."""
-    loads = list(loads)
-    rate = sum(load.rate for load in loads)
-    refused_rate = sum(load.refused_rate for load in loads)
-    return max(0.0, 1.0 - refused_rate / rate) if rate > 0.0 else 0.0
-
-
-@dataclass(kw_only=True, slots=True)
-class _OwnLoad:
-    """Moving averages of this gateway's load of one priority.
-
-    They are those of `PriorityLoad`.
-    """
-
-    wanted: float = 0.0
-    refused: float = 0.0
-    returning: float = 0.0
-    rate: float = 0.0
-    refused_rate: float = 0.0
-    updated_at: float
-
-    def decay(self, now: float) -> None:
-        factor = math.exp(-(now - self.updated_at) / LOAD_TIME_CONSTANT_S)
-        self.wanted *= factor
-        self.refused *= factor
-        self.returning *= factor
-        self.rate *= factor
-        self.refused_rate *= factor
-        self.updated_at = now
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _TolerableWait:
     """Wait that requests of one route and priority can bear, in seconds."""
@@ -309,7 +160,7 @@
                 for priority, mean in fleet_shares.items()
             },
             loads,
-            least=LEAST_SHARE * _served_share(loads),
+            least=LEAST_SHARE * served_share(loads),
             is_overloaded=self.is_overloaded,
             elapsed_s=elapsed_s,
         )
@@ -333,7 +184,7 @@
         """
         self._idle_slots = idle_slots
         self._log_event = log_event
-        self._own_loads: dict[str, dict[int, _OwnLoad]] = {}
+        self._counter = LoadCounter()
         self._reports_by_peer: dict[str, _PeerReport] = {}
         self._states_by_service: dict[str, ServiceState] = {}
         self._tolerable_waits: dict[str, dict[str, _TolerableWait]] = {}
@@ -361,12 +212,13 @@
             is_returning: Whether it was refused before.
             now: Monotonic seconds.
         """
-        load = self._own_load(service, priority, now)
-        slots = service_s / LOAD_TIME_CONSTANT_S
-        load.wanted += slots
-        load.rate += 1.0 / LOAD_TIME_CONSTANT_S
-        if is_returning:
-            load.returning += slots
+        self._counter.count_request(
+            service,
+            priority=priority,
+            service_s=service_s,
+            is_returning=is_returning,
+            now=now,
+        )
         waits = self._tolerable_waits.setdefault(service, {})
         waits[f"{priority}/{route}"] = _TolerableWait(
             priority=priority, wait_s=tolerable_wait_s, counted_at=now
@@ -376,40 +228,17 @@
         self, service: str, *, priority: int, service_s: float, now: float
     ) -> None:
         """Counts the refusal of a request that was counted before."""
-        load = self._own_load(service, priority, now)
-        load.refused += service_s / LOAD_TIME_CONSTANT_S
-        load.refused_rate += 1.0 / LOAD_TIME_CONSTANT_S
-
-    def _own_load(self, service: str, priority: int, now: float) -> _OwnLoad:
-        by_priority = self._own_loads.setdefault(service, {})
-        load = by_priority.get(priority)
-        if load is None:
-            load = _OwnLoad(updated_at=now)
-            by_priority[priority] = load
-        load.decay(now)
-        return load
+        self._counter.count_refusal(
+            service, priority=priority, service_s=service_s, now=now
+        )
 
     def report(self, now: float) -> dict[str, list[PriorityLoad]]:
         """Returns this gateway's load, for its peers."""
-        reported: dict[str, list[PriorityLoad]] = {}
-        for service, by_priority in self._own_loads.items():
-            shares = self._shares(service)
-            for priority, load in sorted(by_priority.items()):
-                load.decay(now)
-                if load.wanted < 0.01:
-                    continue
-                reported.setdefault(service, []).append(
-                    PriorityLoad(
-                        priority,
-                        round(load.wanted, 2),
-                        round(min(load.refused, load.wanted), 2),
-                        round(shares.get(priority, 1.0) * load.wanted, 2),
-                        round(load.returning, 2),
-                        round(load.rate, 2),
-                        round(min(load.refused_rate, load.rate), 2),
-                    )
-                )
-        return reported
+        loads_by_service = {
+            service: self._counter.loads(service, self._shares(service), now)
+            for service in self._counter.services()
+        }
+        return {s: loads for s, loads in loads_by_service.items() if loads}
 
     def _shares(self, service: str) -> Mapping[int, float]:
         state = self._states_by_service.get(service)
@@ -433,11 +262,14 @@
     def states(self, now: float) -> dict[str, ServiceState]:
         """Returns the states of all services that callers have asked for."""
         return {
-            service: self.state(service, now) for service in self._own_loads
+            service: self.state(service, now)
+            for service in self._counter.services()
         }
 
     def _update(self, service: str, state: ServiceState, now: float) -> None:
-        own = {service: self.report(now).get(service, [])}
+        own = {
+            service: self._counter.loads(service, self._shares(service), now)
+        }
         reports = [own]
         known_wanted = own_wanted = _wanted(own, service)
         state.report_age_s = 0.0
--- a/kingcupvane/tests/test_load_shedding.py
+++ b/kingcupvane/tests/test_load_shedding.py
@@ -11,16 +11,17 @@
 import pytest
 
 from kingcupvane.request.load_shedding import (
-    LEAST_SHARE,
-    PRESSURE_AIM_RATIO,
     REPORT_EXPIRY_S,
     SILENT_PEER_EXPIRY_S,
     LoadShedder,
-    PriorityLoad,
-    add_loads,
-    next_shares,
 )
 from kingcupvane.request.placement import Candidate, TargetView
+from kingcupvane.request.priority_load import PriorityLoad, add_loads
+from kingcupvane.request.priority_shares import (
+    LEAST_SHARE,
+    PRESSURE_AIM_RATIO,
+    next_shares,
+)
 from kingcupvane.request.wait_limit import allowed_wait_s
 from kingcupvane.tests.targets import registered_target
 
--- a/kingcupvane/tests/test_summary.py
+++ b/kingcupvane/tests/test_summary.py
@@ -6,7 +6,7 @@
 
 from kingcupvane.connection.messages import Stamp
 from kingcupvane.process.summary import UsageTotals, summarize
-from kingcupvane.request.load_shedding import PriorityLoad
+from kingcupvane.request.priority_load import PriorityLoad
 from kingcupvane.request.rate_limit import AccountUsage
 from kingcupvane.tests.test_peering import record, report
 
