--- a/kingcupvane/connection/messages.py
+++ b/kingcupvane/connection/messages.py
@@ -14,6 +14,7 @@
 from kingcupvane.request.announcements import TargetInstance
 from kingcupvane.request.crashes import SuspicionNotice
 from kingcupvane.request.pace import PaceReport
+from kingcupvane.request.priority_load import PriorityLoad
 from kingcupvane.request.rate_limit import AccountUsage
 from kingcupvane.version.canary_analysis import Tally
 from kingcupvane.version.move import MoveState
@@ -406,6 +407,7 @@
         demand: Requests a second from its callers, by service.
         in_flight: Requests of its gateways in flight, by target.
         paces: What they know of the pace of targets that are not settled.
+        loads: Wanted and refused slots by service and priority.
     """
 
     data_centre: str
@@ -418,6 +420,7 @@
     demand: dict[str, float]
     in_flight: dict[str, int] = {}
     paces: list[PaceReport] = []
+    loads: dict[str, list[PriorityLoad]] = {}
 
 
 class GatewayReport(
@@ -433,12 +436,13 @@
             newer than that revision, in seconds.
         feed: Where its mirror is updated from.
         use: Demand and admitted requests of its callers, by client account;
-            like `demand` and `in_flight`, it is sent only within the data
-            centre.
+            like `demand`, `in_flight` and `loads`, it is sent only within the
+            data centre.
         demand: Requests a second from its callers, by service.
         in_flight: Its requests in flight, by target.
         paces: What it knows of the pace of targets that are not settled; sent
             only within the data centre.
+        loads: Wanted and refused slots by service and priority.
         crashes: Requests that crash targets or are cleared of it.
         leaving: Registered targets that have announced their stop.
         states: States of the known rollouts.
@@ -460,6 +464,7 @@
     demand: dict[str, float] = {}
     in_flight: dict[str, int] = {}
     paces: list[PaceReport] = []
+    loads: dict[str, list[PriorityLoad]] = {}
     crashes: list[SuspicionNotice] = []
     leaving: list[TargetInstance] = []
     states: list[MoveState] = []
--- a/kingcupvane/process/catalog.py
+++ b/kingcupvane/process/catalog.py
@@ -16,6 +16,7 @@
     TargetInstance,
     instance_of,
 )
+from kingcupvane.request.load_shedding import LoadShedder
 from kingcupvane.request.pace import ColdBound, TargetPacer
 from kingcupvane.request.peer_requests import PeerRequests
 from kingcupvane.request.placement import (
@@ -152,6 +153,7 @@
             back.
         target_limits: Rate limits that targets have named.
         peer_requests: Requests of other gateways in flight at the targets.
+        load_shedder: Load by service and priority, of all gateways.
     """
 
     def __init__(
@@ -195,6 +197,9 @@
             quota=quota, log_event=timeline.record
         )
         self.peer_requests = PeerRequests(apply_count=self._set_peer_in_flight)
+        self.load_shedder = LoadShedder(
+            idle_slots=self._idle_slots, log_event=timeline.record
+        )
         self._views_by_name: dict[str, TargetView] = {}
         self._views_by_service: dict[str, list[TargetView]] = {}
         self._removed_at_by_name: dict[str, float] = {}
@@ -467,6 +472,15 @@
             and view.target.data_centre not in self.evacuated
         )
 
+    def _idle_slots(self, service: str) -> float:
+        """Returns how many slots of a service's usable targets are free."""
+        now = self._clock.now()
+        return sum(
+            max(0.0, view.target.slots - view.load(now))
+            for view in self.views(service)
+            if self._is_usable(view, now)
+        )
+
     def cold_rate(self, service: str) -> float:
         """Returns how many requests a second a cold target tolerates."""
         service_plan = self.plan.services_by_name.get(service)
--- a/kingcupvane/process/reporting.py
+++ b/kingcupvane/process/reporting.py
@@ -224,6 +224,7 @@
             demand=self._catalog.demand() if local else {},
             in_flight=self._catalog.in_flight() if local else {},
             paces=self._catalog.pace.reports() if local else [],
+            loads=self._catalog.load_shedder.report(now) if local else {},
             crashes=self._crashes.snapshot(now),
             leaving=self._catalog.announced_leaving(),
             states=list(self._rollout_states.states_by_name.values()),
@@ -298,6 +299,9 @@
                 sender.name, report.in_flight, now
             )
             self._catalog.pace.merge(report.paces, now)
+            self._catalog.load_shedder.update_peer(
+                sender.name, report.loads, now
+            )
             self._quota.update_peer(
                 sender.name,
                 report.use,
@@ -355,6 +359,11 @@
             now,
         )
         self._catalog.pace.merge(summary.paces, now)
+        self._catalog.load_shedder.update_peer(
+            DATA_CENTRE_PEER_NAME.format(summary.data_centre),
+            summary.loads,
+            now,
+        )
         self._quota.update_peer(
             DATA_CENTRE_PEER_NAME.format(summary.data_centre),
             summary.use,
--- a/kingcupvane/process/summary.py
+++ b/kingcupvane/process/summary.py
@@ -10,6 +10,7 @@
     Stamp,
 )
 from kingcupvane.request.pace import merge_reports
+from kingcupvane.request.priority_load import add_loads
 from kingcupvane.request.rate_limit import AccountUsage
 
 
@@ -134,6 +135,7 @@
         demand=demand_by_service,
         in_flight=in_flight_by_target,
         paces=merge_reports(report.paces for report in reports),
+        loads=add_loads(report.loads for report in reports),
     )
 
 
