Usage reports: first working version

Cause: deployments ask for a report of each window's requests by client account, sent by one gateway at a time.

--- a/kingcupvane/connection/messages.py
+++ b/kingcupvane/connection/messages.py
@@ -417,6 +417,39 @@
     in_flight: dict[str, int] = {}
 
 
+class UsageRow(msgspec.Struct, frozen=True, array_like=True):
+    """Requests of one source that targets began in one window.
+
+    Attributes:
+        source: Name of a gateway, or of a data centre for its sum.
+        incarnation: Start time of the gateway, in Unix milliseconds; 0 for a
+            data centre.
+        window: Number of the window.
+        begun: Requests passed on to targets, by client account.
+        refused: Those among them that have not run after all.
+    """
+
+    source: str
+    incarnation: int
+    window: int
+    begun: dict[str, int]
+    refused: dict[str, int] = {}
+
+
+class UsageReport(msgspec.Struct, frozen=True, array_like=True):
+    """What a gateway tells another one about usage.
+
+    Attributes:
+        time_s: The sender's own time, in seconds since the Unix epoch.
+        gateways: Counts of gateways; sent only within the data centre.
+        data_centres: Sums of data centres.
+    """
+
+    time_s: float
+    gateways: list[UsageRow] = []
+    data_centres: list[UsageRow] = []
+
+
 class GatewayReport(
     msgspec.Struct, frozen=True, tag="gateway-report", kw_only=True
 ):
@@ -444,6 +477,7 @@
         summaries: Summaries of data centres for the receiver.
         alone: Whether the sender knows no live gateway yet; the reply then
             contains the summaries of all data centres.
+        usage: Counts for usage reports; left out where none are sent.
     """
 
     record: GatewayRecord
@@ -462,6 +496,7 @@
     known: list[GatewayRecord] = []
     summaries: list[DataCentreSummary] = []
     alone: bool = False
+    usage: UsageReport | msgspec.UnsetType = msgspec.UNSET
 
 
 class MirrorRequest(
--- a/kingcupvane/platform/__main__.py
+++ b/kingcupvane/platform/__main__.py
@@ -15,6 +15,7 @@
     encode_rollout_record,
 )
 from kingcupvane.platform.store import PlatformStore
+from kingcupvane.platform.usage import USAGE_DUTY, PlatformUsageReceiver
 from kingcupvane.process.gateway import GatewayDaemon
 from kingcupvane.process.logs import install_log_buffer
 
@@ -37,6 +38,15 @@
     return settings.load(path, settings.GatewaySettings)
 
 
+def make_usage_receiver(
+    usage: settings.UsageSettings | None,
+) -> PlatformUsageReceiver | None:
+    """Returns the receiver of usage reports; None where none are asked for."""
+    if usage is None or USAGE_DUTY not in usage.duties:
+        return None
+    return PlatformUsageReceiver(address=usage.address)
+
+
 def main() -> int:
     """Runs a gateway until it stops; returns the exit status."""
     clock = SystemClock()
@@ -57,6 +67,7 @@
         names=NAMES,
         encode_rollout_record=encode_rollout_record,
         rollout_record_prefix=ROLLOUT_RECORD_PREFIX,
+        usage_receiver=make_usage_receiver(gateway_settings.usage),
         reload=load_settings,
         log_buffer=log_buffer,
         clock=clock,
--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -46,6 +46,8 @@
 from kingcupvane.process.store import Store
 from kingcupvane.process.supervisor import supervise
 from kingcupvane.process.timeline import HybridClock, Timeline
+from kingcupvane.process.usage_receiver import UsageReceiver
+from kingcupvane.process.usage_reporting import UsageReporting
 from kingcupvane.request.crashes import CrashRegistry
 from kingcupvane.request.gateway_request import WireNames
 from kingcupvane.request.pipeline import RequestPipeline, Shutdown
@@ -99,6 +101,7 @@
         names: WireNames,
         encode_rollout_record: RolloutRecordEncoder,
         rollout_record_prefix: str,
+        usage_receiver: UsageReceiver | None = None,
         reload: Callable[[], GatewaySettings] | None = None,
         log_buffer: LogBuffer | None = None,
         clock: Clock | None = None,
@@ -113,6 +116,8 @@
             encode_rollout_record: Encodes rollout records for the store.
             rollout_record_prefix: Key prefix of the rollout records in the
                 store.
+            usage_receiver: Receiver of usage reports; None where the platform
+                asks for none.
             reload: Reads the settings again on SIGHUP; None ignores SIGHUP.
             log_buffer: Buffer of the log lines; None when they are unbuffered.
             clock: Monotonic and wall clock; the system's by default.
@@ -139,6 +144,7 @@
         self._is_leaving = False
         self._create_state()
         self._create_connections()
+        self._usage = self._create_usage(usage_receiver)
         self._create_control_tasks(encode_rollout_record, rollout_record_prefix)
         self._create_pipeline()
 
@@ -236,6 +242,23 @@
             timeline=self._timeline,
         )
 
+    def _create_usage(
+        self, receiver: UsageReceiver | None
+    ) -> UsageReporting | None:
+        if self._settings.usage is None or receiver is None:
+            return None
+        return UsageReporting(
+            settings=self._settings,
+            receiver=receiver,
+            store=self._store,
+            mirror=self._mirror,
+            peers=self._peers,
+            is_eligible=self._is_ready,
+            metrics=self._metrics,
+            clock=self._clock,
+            timeline=self._timeline,
+        )
+
     def _create_control_tasks(
         self,
         encode_rollout_record: RolloutRecordEncoder,
@@ -266,6 +289,7 @@
             clock=self._clock,
             hybrid_clock=self._hybrid_clock,
             timeline=self._timeline,
+            usage=self._usage and self._usage.exchange,
         )
         self._rollout_task = RolloutTask(
             tracked_rollouts=self._tracked_rollouts,
@@ -330,6 +354,7 @@
             report_suspected_crash=self._crash_verifier.report,
             check_suspected_crash=self._crash_verifier.check,
             report_unanswered=self._crash_verifier.report,
+            usage=self._usage and self._usage.ledger,
         )
         self._pipeline = RequestPipeline(
             catalog=self._catalog,
@@ -361,6 +386,10 @@
                 ("peers", self._serve_peers),
             ):
                 nursery.start_soon(supervise, name, task, self._timeline)
+            if self._usage is not None:
+                nursery.start_soon(
+                    supervise, "usage", self._usage.task.run, self._timeline
+                )
             nursery.start_soon(self._serve_callers)
             nursery.start_soon(self._endpoints.serve_readiness)
             nursery.start_soon(self._endpoints.serve_lookups)
@@ -459,6 +488,8 @@
             self._catalog.remove_expired_targets()
             self._catalog.end_deferrals()
             self._catalog.target_limits.update(now)
+            if self._usage is not None:
+                self._usage.exchange.update()
             view = self._known_fleet.view(now)
             self._retry_budgets.update(view, self._catalog.demand(), now)
             self._quota.update_shares(
@@ -545,6 +576,8 @@
         for (service, payment), count in self._retry_budgets.counts().items():
             labels = {"service": service, "payment": payment}
             metrics.retries.set(labels, count)
+        if self._usage is not None:
+            metrics.usage_token.set({}, self._usage.task.token)
         if self._log_buffer is not None:
             metrics.log_lines_left_out.set({}, self._log_buffer.dropped)
 
--- a/kingcupvane/process/metrics.py
+++ b/kingcupvane/process/metrics.py
@@ -172,3 +172,15 @@
         self.log_lines_left_out = self._gauge(
             "kingcupvane_log_lines_left_out", "Log lines left out since start."
         )
+        self.usage_windows = self._counter(
+            "kingcupvane_usage_windows_total",
+            "Windows of usage recorded, sent and given up, by outcome.",
+        )
+        self.usage_calls = self._counter(
+            "kingcupvane_usage_calls_total",
+            "Calls with usage to the platform by reply.",
+        )
+        self.usage_token = self._gauge(
+            "kingcupvane_usage_token",
+            "Fencing token of the duty of usage reports; 0 without the duty.",
+        )
--- a/kingcupvane/process/reporting.py
+++ b/kingcupvane/process/reporting.py
@@ -34,6 +34,7 @@
 from kingcupvane.process.rollout import RolloutStates, TrackedRollouts
 from kingcupvane.process.summary import UsageTotals, summarize
 from kingcupvane.process.timeline import HybridClock, Timeline
+from kingcupvane.process.usage_exchange import UsageExchange
 from kingcupvane.request.crashes import CrashRegistry
 from kingcupvane.request.quota import PEER_SILENCE_S, DistributedQuota
 from kingcupvane.version.move import MoveState, Phase
@@ -109,6 +110,7 @@
         clock: Clock,
         hybrid_clock: HybridClock,
         timeline: Timeline,
+        usage: UsageExchange | None = None,
     ):
         """Makes a reporter; `run` starts its periodic reports.
 
@@ -131,6 +133,7 @@
             clock: Monotonic clock.
             hybrid_clock: Clock that stamps the summaries.
             timeline: Log of changes caused by reports.
+            usage: Counts for usage reports; None where none are sent.
         """
         self._peers = peers
         self._client = client
@@ -148,6 +151,7 @@
         self._clock = clock
         self._hybrid_clock = hybrid_clock
         self._timeline = timeline
+        self._usage = usage
         self._usage_totals = UsageTotals()
         self._broadcast_requested = trio.Event()
         self._newest_mirror = NewestMirror()
@@ -162,7 +166,9 @@
             case GatewayReport():
                 self._receive_report(message)
                 return self._report_for(
-                    local=self._is_local(message.record), alone=message.alone
+                    message.record.peer_address,
+                    local=self._is_local(message.record),
+                    alone=message.alone,
                 )
             case TrialRequest() | TrialEnded():
                 return self._trials.reply_to(message)
@@ -187,10 +193,13 @@
         """Requests a report to all local peers without waiting for a period."""
         self._broadcast_requested.set()
 
-    def _report_for(self, *, local: bool, alone: bool = False) -> GatewayReport:
+    def _report_for(
+        self, address: str, *, local: bool, alone: bool = False
+    ) -> GatewayReport:
         """Returns a report with the summaries that its receiver needs.
 
         Args:
+            address: Peer address of the receiver.
             local: Whether the receiver is in this data centre.
             alone: Whether the receiver knows no live gateway; it then gets
                 all summaries.
@@ -200,8 +209,11 @@
             summaries = self._received_summaries(direct_only=not alone)
         if alone or not local:
             summaries.append(self._own_summary())
+        usage = msgspec.UNSET
+        if self._usage is not None:
+            usage = self._usage.report_to(address, local=local)
         return msgspec.structs.replace(
-            self._own_report(local=local), summaries=summaries
+            self._own_report(local=local), summaries=summaries, usage=usage
         )
 
     def _own_report(self, *, local: bool) -> GatewayReport:
@@ -292,6 +304,8 @@
             return
         if self._peers.receive_report(report, now):
             self._timeline.record("gateway-live", name=sender.name)
+        if self._usage is not None:
+            self._usage.receive(report)
         if self._is_local(sender):
             self._catalog.peer_requests.update(
                 sender.name, report.in_flight, now
@@ -467,7 +481,7 @@
             )
 
     async def _exchange(self, address: str, *, local: bool) -> None:
-        report = self._report_for(local=local)
+        report = self._report_for(address, local=local)
         try:
             reply = await self._client.ask(address, report)
         finally:
--- a/kingcupvane/request/sending.py
+++ b/kingcupvane/request/sending.py
@@ -18,6 +18,7 @@
 from kingcupvane.process.catalog import Catalog
 from kingcupvane.process.evidence import EvidenceCounter
 from kingcupvane.process.metrics import GatewayMetrics
+from kingcupvane.process.usage_ledger import UsageLedger
 from kingcupvane.request.announcements import (
     parse_reported_load,
     read_announcement,
@@ -78,6 +79,7 @@
         report_suspected_crash: Callable[[SuspectedCrash], None],
         check_suspected_crash: Callable[[SuspectedCrash], Awaitable[None]],
         report_unanswered: Callable[[UnansweredExchange], None],
+        usage: UsageLedger | None = None,
     ):
         """Makes a sender.
 
@@ -96,6 +98,7 @@
             check_suspected_crash: The same, but waits for a first check.
             report_unanswered: Takes an exchange without a response, to count it
                 as evidence if the target lives.
+            usage: Counts the requests that targets began; None for no counts.
         """
         self._catalog = catalog
         self._pool = pool
@@ -109,6 +112,7 @@
         self._report_suspected_crash = report_suspected_crash
         self._check_suspected_crash = check_suspected_crash
         self._report_unanswered = report_unanswered
+        self._usage = usage
 
     async def send(
         self, gateway_request: GatewayRequest, candidate: Candidate
@@ -268,6 +272,7 @@
             await self._pool.release(target.name, connection)
             return unsent
         gateway_request.executions += 1
+        usage_window = self._count_begun(gateway_request)
         response: WireResponse | None = None
         matches_request = False
         try:
@@ -307,6 +312,7 @@
         attempt = self._classify_response(gateway_request, response)
         if attempt.not_executed:
             connection.has_carried_refusal = True
+            self._count_refused(gateway_request, usage_window)
         await self._pool.release(target.name, connection)
         if response.status != HTTPStatus.MISDIRECTED_REQUEST:
             announcement = read_announcement(
@@ -317,6 +323,19 @@
             self._catalog.apply_announcement(view, announcement, sent_at=now)
         return attempt
 
+    def _count_begun(self, gateway_request: GatewayRequest) -> int:
+        """Counts a request that is passed on; returns the window of usage."""
+        if self._usage is None or gateway_request.account is None:
+            return 0
+        return self._usage.begin(gateway_request.account.name)
+
+    def _count_refused(
+        self, gateway_request: GatewayRequest, usage_window: int
+    ) -> None:
+        """Takes a request out of the count that the target has not run."""
+        if self._usage is not None and gateway_request.account is not None:
+            self._usage.refuse(gateway_request.account.name, usage_window)
+
     def _is_response_to(
         self, gateway_request: GatewayRequest, response: WireResponse
     ) -> bool:
--- a/kingcupvane/settings.py
+++ b/kingcupvane/settings.py
@@ -387,6 +387,31 @@
     )
 
 
+class UsageSettings(StrictModel):
+    """Reports of the fleet's usage to the platform, one for each window."""
+
+    address: Address = Field(description="Address of the platform's receiver.")
+    duties: tuple[str, ...] = Field(
+        (), description="Duties that the platform asks for, in its own words."
+    )
+    calls_per_s: float = Field(
+        10.0,
+        gt=0,
+        description="Calls a second that the platform takes from the fleet.",
+    )
+    window_s: float = Field(
+        5.0, gt=0, description="Length of a window, in seconds."
+    )
+    late_s: float = Field(
+        10.0,
+        gt=0,
+        description="Time after a window's end for its report, in seconds.",
+    )
+    lease_s: float = Field(
+        3.0, gt=0, description="Lease of the reporting gateway, in seconds."
+    )
+
+
 class GatewaySettings(StrictModel):
     """Settings of a gateway, which is configured by the platform's store."""
 
@@ -417,6 +442,9 @@
         False, description="Whether the whole fleet starts for the first time."
     )
     store: PlatformStoreSettings = Field(description="The platform's store.")
+    usage: UsageSettings | None = Field(
+        None, description="Usage reports; see UsageSettings. None for none."
+    )
     contact_s: float = Field(
         3.0, gt=0, description="Silence after which a peer is lost, in seconds."
     )
@@ -581,6 +609,7 @@
     TargetGroupStandinSettings,
     LinkStandinSettings,
     PlatformStoreSettings,
+    UsageSettings,
     GatewaySettings,
 )
 
--- /dev/null
+++ b/kingcupvane/tests/test_usage_task.py
@@ -0,0 +1,244 @@
+"""Tests of the duty of usage reports, with any order of faults."""
+
+from functools import partial
+
+import pytest
+import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from kingcupvane.tests.usage_fleet import LEASE_S, Fleet
+
+RUN_S = 60.0
+
+
+async def freeze(fleet, *, node, duration_s):
+    await fleet.nodes[node % fleet.size].freeze(duration_s)
+
+
+async def freeze_holder(fleet, *, node, duration_s):
+    holder = fleet.holder()
+    if holder is not None:
+        await holder.freeze(duration_s)
+
+
+async def kill(fleet, *, node, duration_s):
+    victim = fleet.nodes[node % fleet.size]
+    victim.kill()
+    await trio.sleep(duration_s / 4.0)
+    if not victim.is_running:
+        await victim.run()
+
+
+async def kill_holder(fleet, *, node, duration_s):
+    holder = fleet.holder()
+    if holder is not None:
+        await kill(
+            fleet, node=fleet.nodes.index(holder), duration_s=duration_s
+        )
+
+
+async def resign_holder(fleet, *, node, duration_s):
+    holder = fleet.holder()
+    if holder is not None:
+        await holder.task.resign()
+
+
+async def cut(fleet, *, node, duration_s):
+    await set_for(fleet.nodes[node % fleet.size], "is_cut", duration_s)
+
+
+async def cut_holder(fleet, *, node, duration_s):
+    holder = fleet.holder()
+    if holder is not None:
+        await set_for(holder, "is_cut", duration_s)
+
+
+async def lose_store_answers(fleet, *, node, duration_s):
+    await set_for(fleet.nodes[node % fleet.size], "loses_answers", duration_s)
+
+
+async def delay_store_calls(fleet, *, node, duration_s):
+    await set_for(fleet.nodes[node % fleet.size], "calls_late", duration_s)
+
+
+async def stop_store(fleet, *, node, duration_s):
+    await set_for(fleet.store, "is_down", duration_s)
+
+
+async def stop_platform(fleet, *, node, duration_s):
+    await set_for(fleet.platform, "is_down", duration_s)
+
+
+async def lose_platform_answers(fleet, *, node, duration_s):
+    await set_for(fleet.platform, "loses_answers", duration_s)
+
+
+async def delay_platform_calls(fleet, *, node, duration_s):
+    await set_for(fleet.platform, "carries_out_late", duration_s)
+
+
+async def set_clock(fleet, *, node, duration_s):
+    clock = fleet.nodes[node % fleet.size].clock
+    clock.skew_s = 8.0 if node % 2 else -8.0
+    await trio.sleep(duration_s)
+    clock.skew_s = 0.0
+
+
+async def set_for(owner, name, duration_s):
+    setattr(owner, name, True)
+    await trio.sleep(duration_s)
+    setattr(owner, name, False)
+
+
+ALL_FAULTS = (
+    freeze,
+    freeze_holder,
+    kill,
+    kill_holder,
+    resign_holder,
+    cut,
+    cut_holder,
+    lose_store_answers,
+    delay_store_calls,
+    stop_store,
+    stop_platform,
+    lose_platform_answers,
+    delay_platform_calls,
+    set_clock,
+)
+fault_lists = st.lists(
+    st.tuples(
+        st.floats(2.0, RUN_S - 5.0),
+        st.sampled_from(ALL_FAULTS),
+        st.integers(0, 5),
+        st.floats(0.1, 9.0),
+    ),
+    max_size=12,
+)
+
+
+def play(fleet, faults, run_s=RUN_S):
+    return fleet.run(
+        run_s,
+        *(
+            (at, partial(fault, node=node, duration_s=duration_s))
+            for at, fault, node, duration_s in faults
+        ),
+    )
+
+
+def check_reports(fleet, *, tolerance=0.0):
+    """Checks that every window was reported in time and near the truth."""
+    windows = fleet.due_windows()
+    assert len(windows) >= 5
+    for window in windows:
+        counts = fleet.report(window)
+        assert counts is not None, f"no report for window {window}"
+        truth = fleet.truth[window]
+        for account in counts.keys() | truth.keys():
+            off = abs(counts.get(account, 0) - truth.get(account, 0))
+            assert off <= tolerance * truth.get(account, 0), (window, account)
+
+
+@given(
+    faults=fault_lists,
+    enforces=st.booleans(),
+    seed=st.integers(0, 1000),
+)
+@settings(max_examples=60)
+def test_no_order_of_faults_breaks_a_promise(faults, enforces, seed):
+    fleet = play(Fleet(enforces=enforces, seed=seed), faults)
+    fleet.check_safety()
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_holders_that_change_all_the_time_break_no_promise(seed):
+    faults = []
+    kinds = (freeze_holder, cut_holder, kill_holder, resign_holder)
+    fleet = Fleet(enforces=False, seed=seed)
+    at = 4.0
+    while at < 110.0:
+        fault = fleet.random.choice(kinds)
+        faults.append((at, fault, 0, fleet.random.uniform(0.5, 7.0)))
+        at += fleet.random.uniform(0.3, 6.0)
+    play(fleet, faults, run_s=120.0).check_safety()
+    assert len({act.token for act in fleet.platform.accepted}) > 3
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_calm_fleet_reports_every_window_in_time_and_exactly(seed):
+    fleet = play(Fleet(size=6, seed=seed), [])
+    fleet.check_safety()
+    check_reports(fleet)
+    assert len({act.token for act in fleet.platform.accepted}) == 1
+
+
+@given(
+    jumps=st.lists(
+        st.tuples(
+            st.floats(0.0, RUN_S),
+            st.just(set_clock),
+            st.integers(0, 1),
+            st.floats(0.1, 30.0),
+        ),
+        max_size=4,
+    )
+)
+@settings(max_examples=10)
+def test_clocks_of_a_third_of_the_vms_do_not_change_a_report(jumps):
+    fleet = play(Fleet(size=6), jumps)
+    fleet.check_safety()
+    check_reports(fleet)
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_killed_gateway_costs_less_than_the_tolerance(seed):
+    fleet = Fleet(size=10, seed=seed)
+    at = fleet.random.uniform(15.0, 30.0)
+    node = fleet.random.randrange(10)
+    play(fleet, [(at, kill, node, 1000.0)])
+    fleet.check_safety()
+    check_reports(fleet, tolerance=0.05)
+
+
+@pytest.mark.parametrize("fault", [kill_holder, freeze_holder, cut_holder])
+@pytest.mark.parametrize("at", [15.0, 18.3, 18.6, 19.1])
+def test_lost_holder_is_replaced_before_a_report_is_late(fault, at):
+    fleet = play(Fleet(size=10, seed=1), [(at, fault, 0, 30.0)])
+    fleet.check_safety()
+    for window in fleet.due_windows():
+        assert fleet.report(window) is not None, window
+    assert len({act.token for act in fleet.platform.accepted}) == 2
+
+
+def test_returning_holder_waits_for_a_lease():
+    faults = [(12.0 + 2.5 * n, resign_holder, 0, 0.0) for n in range(12)]
+    fleet = play(Fleet(size=2, enforces=False), faults)
+    fleet.check_safety()
+    assert len(fleet.platform.accepted) > 3
+
+
+def test_platform_outage_is_followed_by_the_windows_that_wait():
+    fleet = play(Fleet(), [(15.0, stop_platform, 0, 8.0)])
+    fleet.check_safety()
+    check_reports(fleet)
+
+
+def test_calls_stay_below_the_platforms_rate():
+    fleet = play(
+        Fleet(),
+        [(10.0, stop_platform, 0, 25.0), (35.0, lose_platform_answers, 0, 9.0)],
+    )
+    fleet.check_safety()
+    assert fleet.platform.throttled == 0
+
+
+def test_window_takes_one_write_and_few_renewals():
+    fleet = play(Fleet(), [])
+    windows = len(fleet.platform.accepted)
+    calls = [node.calls for node in fleet.nodes]
+    swaps = sum(each.get("swap", 0) for each in calls)
+    # Two writes win the duty.
+    assert swaps <= windows + 2
+    assert sum(each.get("renew", 0) for each in calls) <= RUN_S / LEASE_S * 3
