--- a/kingcupvane/process/usage_ledger.py
+++ b/kingcupvane/process/usage_ledger.py
@@ -70,7 +70,11 @@
 
 
 class UsageLedger:
-    """What this gateway knows of the open windows; does no I/O."""
+    """What this gateway knows of the open windows; does no I/O.
+
+    Attributes:
+        data_centre: The data centre of this gateway.
+    """
 
     def __init__(
         self,
@@ -92,7 +96,7 @@
         """
         self._name = name
         self._incarnation = incarnation
-        self._data_centre = data_centre
+        self.data_centre = data_centre
         self._window_s = window_s
         self._true_time = true_time
         self._windows_by_number: dict[int, _Window] = {}
@@ -102,6 +106,10 @@
         """Returns the number of the present window."""
         return int(self._true_time.now() // self._window_s)
 
+    def first_window(self) -> int:
+        """Returns the first window that has counts, else the present one."""
+        return min(self._windows_by_number, default=self.current_window())
+
     def begin(self, account: str) -> int:
         """Counts a request that is passed on; returns its window."""
         number = self.current_window()
@@ -128,7 +136,7 @@
             return {}
         total = self._data_centre_tally(known)
         for name, tally in known.tallies_by_data_centre.items():
-            if name != self._data_centre:
+            if name != self.data_centre:
                 total.add(tally)
         return total.net()
 
@@ -144,7 +152,7 @@
         """Returns the sums of this data centre."""
         rows = [
             _make_row(
-                self._data_centre, 0, number, self._data_centre_tally(known)
+                self.data_centre, 0, number, self._data_centre_tally(known)
             )
             for number, known in sorted(self._windows_by_number.items())
         ]
@@ -156,7 +164,7 @@
             _make_row(name, 0, number, tally)
             for number, known in sorted(self._windows_by_number.items())
             for name, tally in sorted(known.tallies_by_data_centre.items())
-            if name != self._data_centre
+            if name != self.data_centre
         ]
 
     def merge_gateways(self, rows: Iterable[UsageRow]) -> None:
@@ -199,7 +207,7 @@
         for tally in known.tallies_by_gateway.values():
             total.add(tally)
         # An earlier hub may have known of a gateway that has been killed.
-        summed = known.tallies_by_data_centre.get(self._data_centre)
+        summed = known.tallies_by_data_centre.get(self.data_centre)
         if summed is not None:
             total.raise_to(summed.begun, summed.refused)
         return total
--- a/kingcupvane/process/usage_task.py
+++ b/kingcupvane/process/usage_task.py
@@ -221,7 +221,7 @@
                 )
                 return None
             record = decoded.ok_value.taken_over_by(
-                self._own.name, first_window=self._ledger.current_window()
+                self._own.name, first_window=self._ledger.first_window()
             )
             term = DutyTerm(
                 lease=lease,
--- a/kingcupvane/tests/test_usage_task.py
+++ b/kingcupvane/tests/test_usage_task.py
@@ -33,9 +33,7 @@
 async def kill_holder(fleet, *, node, duration_s):
     holder = fleet.holder()
     if holder is not None:
-        await kill(
-            fleet, node=fleet.nodes.index(holder), duration_s=duration_s
-        )
+        await kill(fleet, node=fleet.nodes.index(holder), duration_s=duration_s)
 
 
 async def resign_holder(fleet, *, node, duration_s):
--- a/kingcupvane/tests/usage_fleet.py
+++ b/kingcupvane/tests/usage_fleet.py
@@ -43,6 +43,7 @@
     """Simulated time, and a time of day that may be set wrongly."""
 
     def __init__(self):
+        """Starts with the right time of day."""
         self.skew_s = 0.0
 
     def now(self):
@@ -60,6 +61,7 @@
     """A store in memory with leases."""
 
     def __init__(self):
+        """Makes an empty store."""
         self.items = {}
         self.revision = 1
         self.expiry_by_lease = {}
@@ -178,6 +180,7 @@
     """One gateway; its name outlives its processes."""
 
     def __init__(self, fleet, name):
+        """Makes a gateway that does not run yet."""
         self.fleet = fleet
         self.name = name
         self.clock = SimulatedClock()
@@ -327,9 +330,7 @@
 
     # The platform as this gateway reaches it.
 
-    async def send(
-        self, *, window, counts, holder, token, may_send, timeout_s
-    ):
+    async def send(self, *, window, counts, holder, token, may_send, timeout_s):
         platform = self.fleet.platform
         with trio.move_on_after(timeout_s):
             await trio.sleep(CALL_S)
@@ -359,6 +360,7 @@
     """
 
     def __init__(self, *, size=3, enforces=True, seed=0):
+        """Makes a fleet; `enforces` has the platform check the fence."""
         self.random = random.Random(seed)
         self.store = LeaseStore()
         self.platform = Platform(enforces=enforces)
@@ -383,9 +385,7 @@
                 nursery.cancel_scope.cancel()
 
         with suppress(trio.Cancelled):
-            trio.run(
-                main, clock=trio.testing.MockClock(autojump_threshold=0.0)
-            )
+            trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0.0))
         return self
 
     async def _play(self, at, fault):
