--- a/kingcupvane/tests/test_platform_settings.py
+++ b/kingcupvane/tests/test_platform_settings.py
@@ -6,6 +6,7 @@
 
 from kingcupvane import settings
 from kingcupvane.errors import UsageError
+from kingcupvane.platform.__main__ import make_usage_receiver
 from kingcupvane.tests.template import SETTINGS_TEMPLATE, render
 from kingcupvane.tests.test_platform_gateway import HistoryStore, make_gateway
 
@@ -136,3 +137,64 @@
     table, name = path.split(".")
     fields[table][name] = 0
     assert value_of(load(fields), OPTIONAL_KEYS[path]) == 0
+
+
+USAGE_FIELDS = {
+    "cloud": {
+        "address": "127.0.0.1:8704",
+        "ratePerS": 50.0,
+        "duties": ["other", "usage_report"],
+        "dutyPerS": 20.0,
+    },
+    "bounds": {"reportWindowS": 6, "usageLateS": 11, "leaseS": 4},
+}
+USAGE_KEYS = {
+    "cloud.duties": "duties",
+    "cloud.dutyPerS": "calls_per_s",
+    "bounds.reportWindowS": "window_s",
+    "bounds.usageLateS": "late_s",
+    "bounds.leaseS": "lease_s",
+}
+
+
+def with_usage():
+    return FIELDS | {
+        "cloud": USAGE_FIELDS["cloud"],
+        "bounds": FIELDS["bounds"] | USAGE_FIELDS["bounds"],
+    }
+
+
+def test_every_field_of_usage_reaches_its_setting():
+    usage = load(with_usage()).usage
+    assert usage == settings.UsageSettings(
+        address="127.0.0.1:8704",
+        duties=("other", "usage_report"),
+        calls_per_s=20.0,
+        window_s=6,
+        late_s=11,
+        lease_s=4,
+    )
+    assert make_usage_receiver(usage) is not None
+
+
+@pytest.mark.parametrize("path", USAGE_KEYS)
+def test_usage_has_the_default_of_an_absent_optional_field(path):
+    key = USAGE_KEYS[path]
+    usage = load(without(with_usage(), path)).usage
+    assert (
+        getattr(usage, key) == settings.UsageSettings.model_fields[key].default
+    )
+    make_gateway(load(without(with_usage(), path)), HistoryStore())
+
+
+@pytest.mark.parametrize(
+    "cloud", [None, {}, {"address": None, "duties": ["usage_report"]}]
+)
+def test_deployment_without_an_address_for_usage_reports_none(cloud):
+    assert load(with_usage() | {"cloud": cloud}).usage is None
+
+
+def test_deployment_without_the_duty_has_no_receiver():
+    fields = with_usage()
+    fields["cloud"] = fields["cloud"] | {"duties": []}
+    assert make_usage_receiver(load(fields).usage) is None
--- a/kingcupvane/tests/test_usage_gateway.py
+++ b/kingcupvane/tests/test_usage_gateway.py
@@ -11,7 +11,11 @@
     PlatformItemDecoder,
     encode_rollout_record,
 )
-from kingcupvane.platform.usage import PlatformUsageReceiver
+from kingcupvane.platform.usage import (
+    HOLDER_HEADER,
+    TOKEN_HEADER,
+    PlatformUsageReceiver,
+)
 from kingcupvane.process.gateway import GatewayDaemon
 from kingcupvane.process.usage_duty import HOLDER_KEY, RECORD_KEY
 from kingcupvane.settings import UsageSettings
@@ -108,8 +112,8 @@
         )
         self.reports.append(
             (
-                fields[b"kingcupvane-duty-holder"].decode(),
-                int(fields[b"kingcupvane-fence-token"]),
+                fields[HOLDER_HEADER.lower()].decode(),
+                int(fields[TOKEN_HEADER.lower()]),
                 json.loads(body),
             )
         )
--- a/kingcupvane/tests/test_usage_task.py
+++ b/kingcupvane/tests/test_usage_task.py
@@ -22,6 +22,10 @@
         await holder.freeze(duration_s)
 
 
+async def freeze_in_send(fleet, *, node, duration_s):
+    fleet.nodes[node % fleet.size].freezes_in_send_s = duration_s
+
+
 async def kill(fleet, *, node, duration_s):
     victim = fleet.nodes[node % fleet.size]
     victim.kill()
@@ -92,6 +96,7 @@
 ALL_FAULTS = (
     freeze,
     freeze_holder,
+    freeze_in_send,
     kill,
     kill_holder,
     resign_holder,
@@ -210,6 +215,26 @@
     assert len({act.token for act in fleet.platform.accepted}) == 2
 
 
+@pytest.mark.parametrize("enforces", [False, True])
+def test_holder_that_was_frozen_in_a_call_sends_nothing_after_its_lease(
+    enforces,
+):
+    faults = [(12.0, freeze_in_send, 0, 9.0)]
+    fleet = play(Fleet(enforces=enforces), faults)
+    fleet.check_safety()
+    holders = {act.sender for act in fleet.platform.accepted}
+    assert len(holders) > 1
+
+
+@given(faults=fault_lists, seed=st.integers(0, 1000))
+@settings(max_examples=20)
+def test_fleet_works_on_after_any_order_of_faults(faults, seed):
+    fleet = play(Fleet(seed=seed), faults, run_s=RUN_S + 40.0)
+    fleet.check_safety()
+    last = fleet.due_windows()[-1]
+    assert fleet.report(last) is not None
+
+
 def test_returning_holder_waits_for_a_lease():
     faults = [(12.0 + 2.5 * n, resign_holder, 0, 0.0) for n in range(12)]
     fleet = play(Fleet(size=2, enforces=False), faults)
--- a/kingcupvane/tests/usage_fleet.py
+++ b/kingcupvane/tests/usage_fleet.py
@@ -188,6 +188,7 @@
         self.is_cut = False
         self.loses_answers = False
         self.calls_late = False
+        self.freezes_in_send_s = 0.0
         self.thawed = trio.Event()
         self.thawed.set()
         self.calls = {}
@@ -334,7 +335,13 @@
         platform = self.fleet.platform
         with trio.move_on_after(timeout_s):
             await trio.sleep(CALL_S)
-            await self.thawed.wait()
+            if self.freezes_in_send_s:
+                duration_s, self.freezes_in_send_s = self.freezes_in_send_s, 0.0
+                self.fleet.nursery.start_soon(self.freeze, duration_s)
+                await trio.sleep(CALL_S)
+            # A frozen process's own timeouts do not run.
+            with trio.CancelScope(shield=True):
+                await self.thawed.wait()
             if self.is_cut or platform.is_down:
                 await trio.sleep(timeout_s)
             if not may_send():
