--- a/kingcupvane/process/usage_duty.py
+++ b/kingcupvane/process/usage_duty.py
@@ -22,14 +22,15 @@
 LEASE_MARGIN_SHARE = 0.1
 # Part of the time for a report after which a window is recorded; the rest is
 # left for a change of the holder.
-SETTLING_SHARE = 0.35
-# Longest settling of a window, in seconds; counts of peers take less.
-SETTLING_MAX_S = 3.5
+SETTLING_SHARE = 0.4
+# Longest settling of a window, in seconds; a hub that is lost is replaced, and
+# the counts of its data centre have come, in less.
+SETTLING_MAX_S = 4.0
 # Time for which a new holder collects counts, in seconds.
 COLLECTING_S = 2.0
 # Time before a window's report is due at which a new holder stops collecting,
 # in seconds.
-DUE_RESERVE_S = 2.5
+DUE_RESERVE_S = 1.2
 # Reports that were recorded and not accepted are kept for this long past their
 # due time, in seconds, and at most this many.
 LATE_KEPT_S = 60.0
--- a/kingcupvane/process/usage_exchange.py
+++ b/kingcupvane/process/usage_exchange.py
@@ -2,7 +2,8 @@
 
 A gateway tells its own counts to the hubs of its data centre and to the holder
 of the duty if it is there. A hub tells the sum of its data centre to the data
-centre of the holder, and passes received sums on to the holder.
+centre of the holder and to the standby, the one whose hub is the first to
+contend if the holder is lost. The hub there passes sums on to the holder.
 """
 
 from collections.abc import Collection
@@ -48,7 +49,8 @@
         made_at: Monotonic time at which they were determined, in seconds.
         collectors: Gateways of this data centre that collect its counts.
         holder: The holder, if it is in this data centre; else empty.
-        remote: Gateways of the holder's data centre, if it is another one.
+        remote: Gateways of the holder's data centre and of the standby, other
+            than this data centre.
     """
 
     made_at: float
@@ -97,11 +99,7 @@
         """Returns how long to leave a free duty to others, in seconds."""
         now = self._clock.now()
         own = self._peers.own
-        data_centres = {own.data_centre} | {
-            received.summary.data_centre
-            for received in self._peers.summaries(now)
-        }
-        order = rendezvous_rank(sorted(data_centres), hash_key="usage")
+        order = self._data_centre_order(now)
         candidates = self._peers.hub_candidates(now)
         data_centre_rank = min(
             CONTENDERS_RANK_MAX, order.index(own.data_centre)
@@ -112,6 +110,14 @@
             + DELAY_PER_GATEWAY_S * rank
         )
 
+    def _data_centre_order(self, now: float) -> list[str]:
+        """Returns the live data centres in the order of contenders."""
+        names = {self._peers.own.data_centre} | {
+            received.summary.data_centre
+            for received in self._peers.summaries(now)
+        }
+        return rendezvous_rank(sorted(names), hash_key="usage")
+
     def update(self) -> None:
         """Updates the time, and drops the counts of recorded windows."""
         self._true_time.update()
@@ -170,22 +176,35 @@
     def _find_receivers(self, now: float) -> _Receivers:
         holder = self.holder()
         names = set(self._peers.hub_candidates(now)[:COLLECTORS_MAX])
+        local = {
+            peer.record.name: peer.record.peer_address
+            for peer in self._peers.local_peers(now)
+        }
         holder_address = ""
-        collectors = set()
-        remote = set()
-        for gateway in self._peers.live_gateways(now):
-            record = gateway.record
-            is_holder = holder is not None and record.name == holder.name
-            if record.data_centre == self._peers.own.data_centre:
-                if is_holder:
-                    holder_address = record.peer_address
-                if is_holder or record.name in names:
-                    collectors.add(record.peer_address)
-            elif holder and record.data_centre == holder.data_centre:
-                remote.add(record.peer_address)
+        remote: set[str] = set()
+        if holder is not None:
+            names.add(holder.name)
+            holder_address = local.get(holder.name, "")
+            standby = next(
+                name
+                for name in [*self._data_centre_order(now), ""]
+                if name != holder.data_centre
+            )
+            remote = self._addresses_in((holder.data_centre, standby), now)
         return _Receivers(
             made_at=now,
-            collectors=collectors,
+            collectors={local[name] for name in names if name in local},
             holder=holder_address,
             remote=remote,
         )
+
+    def _addresses_in(
+        self, data_centres: Collection[str], now: float
+    ) -> set[str]:
+        """Returns the peer addresses in other data centres."""
+        return {
+            status.peer_address
+            for received in self._peers.summaries(now)
+            if received.summary.data_centre in data_centres
+            for status in received.summary.members
+        }
--- a/kingcupvane/tests/test_usage_exchange.py
+++ b/kingcupvane/tests/test_usage_exchange.py
@@ -118,6 +118,26 @@
     assert (row.source, row.begun) == ("north-a", {"a": 2})
 
 
+def test_hub_also_tells_the_sum_to_one_other_data_centre(clock):
+    told = {}
+    for name in ("hub", "third"):
+        parts = Parts(clock, name)
+        for data_centre in ("south-b", "south-c", "south-d"):
+            receive_remote_summary(
+                parts.peers, summary(data_centre, data_centre), clock.now()
+            )
+        parts.set_holder("s2", "south-a")
+        parts.ledger.begin("a")
+        told[name] = {
+            address
+            for address in ("s1", "s2", "south-b", "south-c", "south-d")
+            if parts.tell(address, local=False).data_centres
+        }
+    assert told["hub"] == told["third"]
+    assert {"s1", "s2"} <= told["hub"]
+    assert len(told["hub"]) <= 3
+
+
 def test_hub_passes_received_sums_on_to_the_holder_only(clock):
     parts = Parts(clock)
     parts.set_holder("third", "north-a")
