Usage reports: tests of unrecorded reports, of a holder's return and of refusals

Cause: two mutations passed the tests: a write of unknown outcome taken for done, and no wait of a holder that returns. Change: the simulated platform checks that the store held what is sent; the holder that resigns contends last; a test without the pause after a term, one of refused tokens. Measured: the wait left out fails test_returning_holder_waits_for_a_lease; the two new tests pass.

--- a/kingcupvane/process/usage_task.py
+++ b/kingcupvane/process/usage_task.py
@@ -46,6 +46,8 @@
 CALL_TIMEOUT_S = 1.0
 # Pause after an attempt to win the duty that failed, in seconds.
 CONTENTION_PAUSE_S = 1.0
+# Pause after a term, as a multiple of the lease, for others to win the duty.
+PAUSE_PER_LEASE = 1.0
 # Less time left of the lease than this is not used for a call, in seconds.
 CALL_TIME_MIN_S = 0.2
 # Part of the platform's rate of calls that is used.
@@ -261,7 +263,7 @@
         if self._term is not term:
             return
         self._term = None
-        self._contend_from = self._clock.now() + self._lease_s
+        self._contend_from = self._clock.now() + PAUSE_PER_LEASE * self._lease_s
         self._timeline.record("usage-duty-lost", token=term.token, why=reason)
         await self._store.revoke(term.lease)
 
--- a/kingcupvane/tests/test_usage_task.py
+++ b/kingcupvane/tests/test_usage_task.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from kingcupvane.process import usage_task
 from kingcupvane.tests.usage_fleet import LEASE_S, Fleet
 
 RUN_S = 60.0
@@ -51,6 +52,8 @@
 async def resign_holder(fleet, *, node, duration_s):
     holder = fleet.holder()
     if holder is not None:
+        fleet.contenders.remove(holder)
+        fleet.contenders.append(holder)
         await holder.task.resign()
 
 
@@ -249,11 +252,24 @@
     assert fleet.report(last) is not None
 
 
-def test_returning_holder_waits_for_a_lease():
-    faults = [(12.0 + 2.5 * n, resign_holder, 0, 0.0) for n in range(12)]
+def test_returning_holder_waits_for_a_lease(monkeypatch):
+    # Only the wait of the new term is left.
+    monkeypatch.setattr(usage_task, "PAUSE_PER_LEASE", 0.0)
+    faults = [(12.0 + 0.9 * n, resign_holder, 0, 0.0) for n in range(40)]
     fleet = play(Fleet(size=2, enforces=False), faults)
     fleet.check_safety()
-    assert len(fleet.platform.accepted) > 3
+    assert len({act.sender for act in fleet.platform.accepted}) == 2
+
+
+def test_refused_holder_does_not_call_again_on_its_token():
+    async def show_higher_token(fleet, *, node, duration_s):
+        fleet.platform.highest_token = 4
+
+    fleet = play(Fleet(), [(12.0, show_higher_token, 0, 0.0)])
+    fleet.check_safety()
+    assert fleet.platform.refused_tokens == [1, 2, 3]
+    assert fleet.platform.accepted[-1].token == 4
+    check_reports(fleet)
 
 
 def test_platform_outage_is_followed_by_the_windows_that_wait():
--- a/kingcupvane/tests/usage_fleet.py
+++ b/kingcupvane/tests/usage_fleet.py
@@ -21,7 +21,11 @@
 from kingcupvane.process.store import Conflict
 from kingcupvane.process.timeline import HybridClock, Timeline
 from kingcupvane.process.true_time import TrueTime
-from kingcupvane.process.usage_duty import UsageSchedule
+from kingcupvane.process.usage_duty import (
+    RECORD_KEY,
+    UsageSchedule,
+    decode_record,
+)
 from kingcupvane.process.usage_ledger import UsageLedger
 from kingcupvane.process.usage_receiver import UsageReply
 from kingcupvane.process.usage_task import UsageTask
@@ -58,7 +62,11 @@
 
 
 class LeaseStore:
-    """A store in memory with leases."""
+    """A store in memory with leases.
+
+    Attributes:
+        recorded: Counts that the duty's record ever held, by window.
+    """
 
     def __init__(self):
         """Makes an empty store."""
@@ -67,6 +75,7 @@
         self.expiry_by_lease = {}
         self.leases = 0
         self.is_down = False
+        self.recorded = {}
 
     def expire(self):
         now = trio.current_time()
@@ -109,6 +118,9 @@
         self.revision += 1
         item = Item(key=key, value=value, revision=self.revision)
         self.items[key] = (item, lease)
+        if key == RECORD_KEY:
+            for each in decode_record(value).ok_value.pending:
+                self.recorded.setdefault(each.window, []).append(each.counts)
         return Ok(item)
 
 
@@ -133,6 +145,7 @@
         token: Fencing token.
         window: Number of the window.
         counts: Requests by client account.
+        is_recorded: The store held these counts when they were sent.
         is_late: It was carried out after its sender had given it up.
     """
 
@@ -141,6 +154,7 @@
     token: int
     window: int
     counts: dict
+    is_recorded: bool
     is_late: bool = False
 
 
@@ -150,6 +164,7 @@
 
     Attributes:
         accepted: Reports that were accepted, in order.
+        refused_tokens: Tokens refused since a higher one had been seen.
         throttled: Number of calls answered "too many".
     """
 
@@ -158,6 +173,7 @@
     loses_answers: bool = False
     carries_out_late: bool = False
     accepted: list = field(default_factory=list)
+    refused_tokens: list = field(default_factory=list)
     calls_at: list = field(default_factory=list)
     throttled: int = 0
     highest_token: int = 0
@@ -170,6 +186,7 @@
             return UsageReply.THROTTLED
         self.calls_at.append(now)
         if self.enforces and act.token < self.highest_token:
+            self.refused_tokens.append(act.token)
             return UsageReply.SUPERSEDED
         self.highest_token = max(self.highest_token, act.token)
         self.accepted.append(act)
@@ -236,7 +253,7 @@
             lease_s=LEASE_S,
             calls_per_s=CALLS_PER_S,
             is_eligible=lambda: True,
-            contention_delay_s=lambda: 0.4 * self.fleet.nodes.index(self),
+            contention_delay_s=lambda: 0.4 * self.fleet.contenders.index(self),
             metrics=GatewayMetrics(),
             clock=self.clock,
             timeline=timeline,
@@ -351,7 +368,15 @@
             if not may_send():
                 return UsageReply.NOT_SENT
             sender = (holder, self.incarnation)
-            act = Act(trio.current_time(), sender, token, window, dict(counts))
+            recorded = self.fleet.store.recorded.get(window, [])
+            act = Act(
+                at=trio.current_time(),
+                sender=sender,
+                token=token,
+                window=window,
+                counts=dict(counts),
+                is_recorded=counts in recorded,
+            )
             if platform.carries_out_late:
                 self.fleet.take_late(act)
                 await trio.sleep(timeout_s)
@@ -384,6 +409,7 @@
         async def main():
             # Windows begin with the simulation, whatever the epoch.
             self.nodes = [Node(self, f"g{n}") for n in range(self.size)]
+            self.contenders = list(self.nodes)
             async with trio.open_nursery() as nursery:
                 self.nursery = nursery
                 for node in self.nodes:
@@ -451,6 +477,7 @@
         sender_by_token = {}
         acts = self.platform.accepted
         for act in acts:
+            assert act.is_recorded, f"window {act.window} is not in the store"
             assert counts_by_window.setdefault(act.window, act.counts) == (
                 act.counts
             ), f"two counts for window {act.window}"
