Tests: the crowds of hostile clients at an entry process

Cause: an entry counts a body towards its limit only once it is whole, and refuses small requests while large ones fill it.

The crowds of the gateway (but open-only, for which an entry has no setting) at an entry with bodies of 8 MiB and a limit of 32 MiB; it may grow by twice that.

--- a/kingcupvane/tests/test_hostile_crowds.py
+++ b/kingcupvane/tests/test_hostile_crowds.py
@@ -17,6 +17,7 @@
 import trio
 
 from kingcupvane.platform.names import NAMES
+from kingcupvane.standin.fleet import EntrySpec, Fleet, TargetSpec
 from kingcupvane.tests.hostile_crowd import (
     BODY_MAX_BYTES,
     CROWDS_BY_NAME,
@@ -25,6 +26,7 @@
     send_ordinary,
 )
 from kingcupvane.tests.lone_gateway import Limits
+from kingcupvane.tests.scenario import table, target_table
 from kingcupvane.tests.test_endless_clients import peak_bytes
 from kingcupvane.tests.test_target_connection import ScriptedTarget
 
@@ -40,6 +42,13 @@
 CROWD_MAX_S = 30.0
 # The smallest VM of the users, and the largest body that their pages allow.
 CALM_LIMITS = Limits(memory_mb=200, timeout_s=60.0)
+# Limit of an entry for the bodies of requests together, in bytes.
+ENTRY_BUFFERED_MAX_BYTES = 32 * MEGABYTE
+# Largest growth of an entry: its limit, and as much for copies while bodies are
+# passed on.
+ENTRY_GROWTH_MAX_BYTES = 2 * ENTRY_BUFFERED_MAX_BYTES
+# A crowd that only opens connections is met by a limit that entries lack.
+ENTRY_CROWDS = sorted(set(CROWDS_BY_NAME) - {"open-only"})
 ORDINARY_BODY = bytes(2000)
 OK = b"HTTP/1.1 200 "
 
@@ -169,6 +178,83 @@
     assert max(sockets) < CROWD_LIMITS.descriptors - FILE_DESCRIPTORS
 
 
+def start_fleet(fleet):
+    """Starts an entry with a target of a service that is open to all."""
+    location = {"region": "r1", "data_centre": "dc-a"}
+    fleet.add_store()
+    fleet.wait_ready()
+    entry = EntrySpec(name="e-a1", **location)
+    target = TargetSpec(name="t-a1", service="r", slots=40, **location)
+    process = fleet.add_entry(
+        entry,
+        request={
+            "body_max_bytes": BODY_MAX_BYTES,
+            "buffered_max_bytes": ENTRY_BUFFERED_MAX_BYTES,
+            "timeout_s": 60.0,
+        },
+    )
+    fleet.add_target(target)
+    fleet.wait_ready()
+    note = "".join(
+        (
+            'change_id = "c1"\n',
+            table(
+                "add.entries",
+                name=entry.name,
+                caller_address=entry.caller_address,
+                peer_address=entry.peer_address,
+                **location,
+            ),
+            '[[add.services]]\nname = "r"\n'
+            'routes = [{ prefix = "/", open = true }]\n',
+            table("add.versions", name="v1", service="r"),
+            target_table(target),
+        )
+    )
+    applied = fleet.apply(note)
+    assert applied.returncode in (0, 3), applied.stderr
+    return process
+
+
+async def wait_until_served(address):
+    while not (await send_ordinary(address, body=b"x")).startswith(OK):
+        await trio.sleep(0.1)
+
+
+# The limit did not count the bodies that were still being read.
+@pytest.mark.parametrize("name", ENTRY_CROWDS)
+def test_entry_outlives_a_crowd_and_serves_others(name, tmp_path):
+    seen = {}
+    unread = []
+
+    async def main(entry):
+        run = CrowdRun(address=entry.address, crowd=CROWDS_BY_NAME[name])
+        with trio.fail_after(120):
+            await wait_until_served(entry.address)
+            seen["idle"] = peak_bytes(entry.popen)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(
+                    watch, entry.popen, entry.address, [], unread
+                )
+                nursery.start_soon(run.run)
+                with trio.move_on_after(CROWD_MAX_S):
+                    await run.all_sent.wait()
+                seen["alive"] = entry.popen.poll() is None
+                if seen["alive"]:
+                    seen["answer"] = await send_ordinary(
+                        entry.address, body=ORDINARY_BODY
+                    )
+                    seen["peak"] = peak_bytes(entry.popen)
+                nursery.cancel_scope.cancel()
+
+    with Fleet(folder=tmp_path) as fleet:
+        trio.run(main, start_fleet(fleet))
+    assert seen["alive"]
+    assert seen["answer"].startswith(OK)
+    growth = seen["peak"] + max(unread) - seen["idle"]
+    assert growth < ENTRY_GROWTH_MAX_BYTES
+
+
 # A body of the largest size existed three times in the process.
 @pytest.mark.parametrize("size", [0, 1, CALM_LIMITS.body_max_bytes])
 def test_single_request_within_the_limits_is_served_in_calm(size):
