Memory: one budget for what a process holds for callers

Cause: bodies were read whole, in lists of their chunks, and joined and copied once more to be sent, without a common bound (gateway) or counted only once whole (entry); connections, heads and arrival times had no bound.

Change: connection/memory_budget.py decides, without I/O, on bodies, responses and connections, each with a bound that follows from memory_mb. Bodies are kept in blocks and sent from there. An announced body without room gets 503 with Retry-After, one over the limit 413, one that is too slow while others need its room 408; none is sent on before. Small bodies have a reserve. Connections are bounded; late heads, the longest idle ones and slow bodies give way. Heads follow the plan's limits. Accepting without free descriptors no longer ends a stop.

--- a/kingcupvane/asgi.py
+++ b/kingcupvane/asgi.py
@@ -18,6 +18,14 @@
     """The request body is larger than the server accepts."""
 
 
+class BodyTooSlowError(Exception):
+    """The body came too slowly while other bodies needed its room."""
+
+
+class NoRoomError(Exception):
+    """The process has no room for the body now."""
+
+
 class CallerDisconnectedError(Exception):
     """The caller closed its connection before the exchange was complete."""
 
@@ -27,6 +35,10 @@
     return False
 
 
+def read_without_limit() -> None:
+    """Does nothing; for requests whose connection has no limit to set."""
+
+
 @dataclass(frozen=True, kw_only=True)
 class HttpRequest:
     """One HTTP request at an ASGI server.
@@ -44,6 +56,8 @@
         header_pairs: All headers in the order received, with lower-case names.
         is_disconnected: Returns whether the caller has closed its
             connection, even if no read has reported that yet.
+        limit_unread: Keeps what the kernel takes for the connection small,
+            while the body is not read.
         queued_s: Time from the request's arrival to its handling, in seconds.
     """
 
@@ -56,8 +70,14 @@
     raw_path_and_query: bytes = b""
     header_pairs: list[tuple[bytes, bytes]] = field(default_factory=list)
     is_disconnected: Callable[[], bool] = never_disconnected
+    limit_unread: Callable[[], None] = read_without_limit
     queued_s: float = 0.0
 
+    def announced_bytes(self) -> int:
+        """Returns the announced length of the body; 0 without one."""
+        text = self.headers.get("content-length", "")
+        return int(text) if text.isdigit() else 0
+
     async def read_body(self, *, limit: int) -> bytes:
         """Reads the whole body.
 
--- a/kingcupvane/connection/inbound.py
+++ b/kingcupvane/connection/inbound.py
@@ -5,7 +5,9 @@
 it. Therefore this module drives h11, the parser below hypercorn, directly.
 """
 
+import contextlib
 import select
+import socket
 from collections import deque
 from dataclasses import dataclass, field
 from typing import Any
@@ -16,6 +18,13 @@
 from loguru import logger
 
 from kingcupvane import asgi
+from kingcupvane.connection.memory_budget import (
+    CONNECTION_BYTES,
+    LEAST_RATE_BYTES_PER_S,
+    MEBIBYTE,
+    Account,
+    BodyBudget,
+)
 from kingcupvane.connection.round_limiter import RoundLimiter
 from kingcupvane.connection.target_connection import RECEIVE_CHUNK_BYTES, abort
 
@@ -28,6 +37,28 @@
 SHUTDOWN_IDLE_S = 0.3
 # Longest time for reading what the caller still sends after its response.
 DRAIN_TIMEOUT_S = 1.0
+# Most bytes that are read then: the rest of a body of usual largest size.
+DRAIN_MAX_BYTES = 64 * MEBIBYTE
+# A response to a request with more of its body unread closes the connection.
+DRAIN_FOR_REUSE_MAX_BYTES = MEBIBYTE
+# Bytes of a head read at a time.
+HEAD_CHUNK_BYTES = 16384
+# Bytes that the kernel takes for a connection which is not being read.
+UNREAD_MAX_BYTES = 131072
+# Chunks of a body that are joined if they are smaller than this, and how many
+# before other tasks get their turn.
+TINY_CHUNK_BYTES = 1024
+JOINED_CHUNKS_MAX = 256
+# Arrival times noted for unparsed bytes; later bytes share the last one.
+ARRIVAL_TIMES_MAX = 256
+# Longest time in which a caller takes a response, in seconds, in addition to
+# what the least rate allows for its size.
+WRITE_TIMEOUT_S = 30.0
+# Time from which an incomplete head loses its place to a new connection.
+HEAD_LATE_S = 2.0
+# Limits of the connections where no process has set them.
+DEFAULT_CONNECTIONS_MAX = 2000
+DEFAULT_CONNECTIONS_BYTES = 64 * MEBIBYTE
 # Bytes of pipelined requests from which no more are read ahead.
 READ_AHEAD_MAX_BYTES = 16384
 # Period of the disconnect check while unread bytes keep the socket readable.
@@ -55,16 +86,61 @@
         keep_alive_s: Longest idle time of a connection, in seconds.
         accepted: Number of connections accepted since the start.
         accept_batch_size: Number of connections accepted in the last batch.
-        idle_scopes: Cancel scopes of the connections that wait for a request.
+        idle_scopes: Cancel scopes of the connections that wait for a request,
+            the longest wait first.
+        head_scopes: Cancel scopes of the connections whose head is incomplete,
+            with its monotonic arrival time, the earliest first.
         round_limiter: Limits how many requests start in one scheduler round.
+        head_max_bytes: Largest request line and headers together.
+        head_timeout_s: Longest time from the first byte of a head to its end.
+        open_count: Number of open connections.
+        connections_max: Most open connections.
+        memory: Memory of the connections and of what they have sent ahead.
+        bodies: Room for request bodies; slow ones give way to new connections.
     """
 
     stop: trio.Event = field(default_factory=trio.Event)
     keep_alive_s: float = DEFAULT_KEEP_ALIVE_S
     accepted: int = 0
     accept_batch_size: int = 0
-    idle_scopes: set[trio.CancelScope] = field(default_factory=set)
+    idle_scopes: dict[trio.CancelScope, None] = field(default_factory=dict)
+    head_scopes: dict[trio.CancelScope, float] = field(default_factory=dict)
     round_limiter: RoundLimiter = field(default_factory=RoundLimiter)
+    head_max_bytes: int = HEAD_MAX_BYTES
+    head_timeout_s: float = DEFAULT_KEEP_ALIVE_S
+    open_count: int = 0
+    connections_max: int = DEFAULT_CONNECTIONS_MAX
+    memory: Account = field(
+        default_factory=lambda: Account(max_bytes=DEFAULT_CONNECTIONS_BYTES)
+    )
+    bodies: BodyBudget | None = None
+
+    def free_places(self) -> int:
+        """Returns how many more connections may be accepted now."""
+        if self.memory.is_full():
+            return 0
+        return max(0, self.connections_max - self.open_count)
+
+    def make_place(self, now: float) -> bool:
+        """Ends what can best be spared; returns whether there was anything.
+
+        That is a head that stays incomplete, else the connection that has been
+        idle for longest, else a request whose body comes too slowly.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        scope, arrived_at = next(iter(self.head_scopes.items()), (None, now))
+        if scope is not None and now - arrived_at >= HEAD_LATE_S:
+            del self.head_scopes[scope]
+            scope.cancel()
+            return True
+        scope = next(iter(self.idle_scopes), None)
+        if scope is not None:
+            del self.idle_scopes[scope]
+            scope.cancel()
+            return True
+        return self.bodies is not None and self.bodies.evict_latest(now)
 
 
 class InboundConnection:
@@ -95,7 +171,7 @@
         self._state = state
         self._client_address = client_address
         self._parser = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=HEAD_MAX_BYTES
+            h11.SERVER, max_incomplete_event_size=state.head_max_bytes
         )
         self._hangup_poll = _make_poll(transport, select.POLLRDHUP)
         self._request_head: h11.Request | None = None
@@ -103,6 +179,9 @@
         self._status = 0
         self._arrived_at = 0.0
         self._received_bytes = 0
+        # Unparsed bytes that count as memory of the connection.
+        self._ahead_bytes = 0
+        self._unread_body_bytes = 0
         # End offset and arrival time of chunks that may hold unparsed bytes.
         self._chunks: deque[tuple[int, float]] = deque()
         self._response_started = False
@@ -123,6 +202,7 @@
 
         An error on one connection must not end those of other callers.
         """
+        self._state.memory.used_bytes += CONNECTION_BYTES
         try:
             await self._serve_all()
         except CONNECTION_ERRORS as error:
@@ -132,6 +212,8 @@
                 "event=caller-connection-crashed peer={}", self._client_address
             )
         finally:
+            self._state.memory.used_bytes -= CONNECTION_BYTES
+            self._charge_ahead(0)
             await self._close()
 
     async def _serve_all(self) -> None:
@@ -199,15 +281,23 @@
     async def _start_next_cycle(self) -> bool:
         """Prepares for the next request; returns whether it may be read."""
         parser = self._parser
-        if parser.their_state is h11.SEND_BODY and not await self._drain():
-            return False
+        is_plain = self._stream is self._transport
+        if parser.their_state is h11.SEND_BODY:
+            must_close = parser.our_state is h11.MUST_CLOSE
+            if not (is_plain and must_close) and await self._drain():
+                pass
+            elif is_plain:
+                await self._linger_until_closed()
+                return False
+            else:
+                return False
         reusable = (
             parser.our_state is h11.DONE and parser.their_state is h11.DONE
         )
         if reusable and not self._state.stop.is_set():
             parser.start_next_cycle()
             return True
-        if self._stream is self._transport:
+        if is_plain:
             # With TLS, an EOF before its closure alert would look like an
             # attack; closing the stream sends the alert.
             await self._linger_until_closed()
@@ -221,13 +311,15 @@
         """
         if self._parser.they_are_waiting_for_100_continue:
             return False
+        drained_bytes = 0
         with trio.move_on_after(DRAIN_TIMEOUT_S):
-            while True:
+            while drained_bytes <= DRAIN_FOR_REUSE_MAX_BYTES:
                 message = await self._receive()
                 if message is DISCONNECT:
                     return False
                 if not message["more_body"]:
                     return True
+                drained_bytes += len(message["body"])
         return False
 
     async def _linger_until_closed(self) -> None:
@@ -237,10 +329,14 @@
         they would cause a reset, which could destroy the last response before
         the caller has read it.
         """
+        remaining_bytes = DRAIN_MAX_BYTES
         with trio.move_on_after(DRAIN_TIMEOUT_S):
             await self._transport.send_eof()
-            while await self._transport.receive_some(RECEIVE_CHUNK_BYTES):
-                pass
+            while remaining_bytes > 0:
+                data = await self._transport.receive_some(RECEIVE_CHUNK_BYTES)
+                if not data:
+                    return
+                remaining_bytes -= len(data)
 
     async def _read_head(self) -> h11.Request | None:
         """Returns the head of the next request; None if there is none."""
@@ -257,12 +353,31 @@
                 return None
         self._arrived_at = self._take_arrival_time()
         await state.round_limiter.enter()
-        with trio.CancelScope(deadline=deadline):
-            event = await self._next_event()
+        now = trio.current_time()
+        deadline = min(deadline, now + state.head_timeout_s)
+        with trio.CancelScope(deadline=deadline) as scope:
+            state.head_scopes[scope] = now
+            try:
+                event = await self._next_event()
+            finally:
+                state.head_scopes.pop(scope, None)
+                self._charge_ahead(0)
             if isinstance(event, h11.Request):
                 return event
         return None
 
+    def _charge_ahead(self, size_bytes: int) -> None:
+        """Counts the bytes that are held for the caller but not parsed."""
+        self._state.memory.used_bytes += size_bytes - self._ahead_bytes
+        self._ahead_bytes = size_bytes
+
+    def _limit_unread(self) -> None:
+        """Keeps what the kernel takes while this connection is not read."""
+        with contextlib.suppress(OSError):
+            self._transport.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, UNREAD_MAX_BYTES
+            )
+
     def _take_arrival_time(self) -> float:
         """Returns the time at which the request to be read arrived.
 
@@ -279,7 +394,10 @@
         """Passes received bytes to the parser and notes when they arrived."""
         self._parser.receive_data(data)
         self._received_bytes += len(data)
-        self._chunks.append((self._received_bytes, trio.current_time()))
+        now = trio.current_time()
+        if len(self._chunks) >= ARRIVAL_TIMES_MAX:
+            now = self._chunks.pop()[1]
+        self._chunks.append((self._received_bytes, now))
 
     async def _receive_first_bytes(self, deadline: float) -> bytes | None:
         """Returns received bytes, which are empty once the caller has closed.
@@ -289,23 +407,29 @@
         """
         idle_scopes = self._state.idle_scopes
         with trio.CancelScope(deadline=deadline) as scope:
-            idle_scopes.add(scope)
+            idle_scopes[scope] = None
             try:
-                return bytes(
-                    await self._stream.receive_some(RECEIVE_CHUNK_BYTES)
-                )
+                return bytes(await self._stream.receive_some(HEAD_CHUNK_BYTES))
             finally:
-                idle_scopes.discard(scope)
+                idle_scopes.pop(scope, None)
         return None
 
     async def _next_event(self) -> Any:
         parser = self._parser
+        is_head = parser.their_state is h11.IDLE
+        chunk_bytes = HEAD_CHUNK_BYTES if is_head else RECEIVE_CHUNK_BYTES
         while True:
             event = parser.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            data = await self._stream.receive_some(RECEIVE_CHUNK_BYTES)
+            # What is unparsed belongs to this event, whose time is known.
+            self._chunks.clear()
+            data = await self._stream.receive_some(chunk_bytes)
             self._feed(bytes(data))
+            if is_head:
+                self._charge_ahead(self._ahead_bytes + len(data))
+                if self._state.memory.is_full():
+                    self._state.make_place(trio.current_time())
 
     async def _receive(self) -> dict[str, Any]:
         """Implements ASGI `receive`.
@@ -331,10 +455,32 @@
                 "event=request-cut peer={} why={}", self._client_address, error
             )
             return DISCONNECT
-        if isinstance(event, h11.Data):
-            body = bytes(event.data)
-            return {"type": "http.request", "body": body, "more_body": True}
-        return {"type": "http.request", "body": b"", "more_body": False}
+        if not isinstance(event, h11.Data):
+            return {"type": "http.request", "body": b"", "more_body": False}
+        body, more_body = bytes(event.data), True
+        if len(body) < TINY_CHUNK_BYTES:
+            body, more_body = self._join_tiny_chunks(body)
+        self._unread_body_bytes -= len(body)
+        return {"type": "http.request", "body": body, "more_body": more_body}
+
+    def _join_tiny_chunks(self, first: bytes) -> tuple[bytes, bool]:
+        """Returns a part with the chunks that follow it and have arrived.
+
+        Returns:
+            The joined chunks, and whether the body may go on.
+        """
+        joined = bytearray(first)
+        for _ in range(JOINED_CHUNKS_MAX):
+            try:
+                event = self._parser.next_event()
+            except h11.RemoteProtocolError:
+                break  # The next call raises it again.
+            if isinstance(event, h11.EndOfMessage):
+                return bytes(joined), False
+            if not isinstance(event, h11.Data):
+                break
+            joined += event.data
+        return bytes(joined), True
 
     async def _wait_disconnected(self) -> None:
         """Waits for the caller's close; reads pipelined requests meanwhile.
@@ -345,13 +491,20 @@
             await trio.lowlevel.wait_readable(self._transport.socket)
             if self.is_disconnected():
                 return
-            if len(self._parser.trailing_data[0]) >= READ_AHEAD_MAX_BYTES:
+            ahead_bytes = len(self._parser.trailing_data[0])
+            self._charge_ahead(ahead_bytes)
+            if (
+                ahead_bytes >= READ_AHEAD_MAX_BYTES
+                or self._state.memory.is_full()
+            ):
+                self._limit_unread()
                 await trio.sleep(DISCONNECT_POLL_S)
                 continue
             data = await self._stream.receive_some(READ_AHEAD_MAX_BYTES)
             if not data:
                 return
             self._feed(bytes(data))
+            self._charge_ahead(ahead_bytes + len(data))
 
     async def _send(self, message: dict[str, Any]) -> None:
         """Implements ASGI `send`; the head is sent with the first body part."""
@@ -375,7 +528,11 @@
 
     def _make_response(self, start: dict[str, Any]) -> h11.Response:
         headers = list(start.get("headers", []))
-        if self._state.stop.is_set():
+        is_body_unread = (
+            self._parser.their_state is h11.SEND_BODY
+            and self._unread_body_bytes > DRAIN_FOR_REUSE_MAX_BYTES
+        )
+        if self._state.stop.is_set() or is_body_unread:
             headers.append((b"connection", b"close"))
         self._status = int(start["status"])
         return h11.Response(status_code=self._status, headers=headers)
@@ -396,16 +553,23 @@
         await self._write(head + (self._parser.send(h11.EndOfMessage()) or b""))
 
     async def _write(self, data: bytes) -> None:
+        """Sends bytes; a caller that does not take them counts as gone."""
+        timeout_s = WRITE_TIMEOUT_S + len(data) / LEAST_RATE_BYTES_PER_S
         try:
-            await self._stream.send_all(data)
-        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            with trio.fail_after(timeout_s):
+                await self._stream.send_all(data)
+        except (
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            trio.TooSlowError,
+        ) as error:
             self._connection_lost = True
             raise asgi.CallerDisconnectedError from error
 
     def _make_request(self, head: h11.Request) -> asgi.HttpRequest:
         path, _, query = head.target.partition(b"?")
         pairs = [(bytes(name), bytes(value)) for name, value in head.headers]
-        return asgi.HttpRequest(
+        request = asgi.HttpRequest(
             method=head.method.decode("ascii").upper(),
             path=unquote(path.decode("latin-1")),
             query=query.decode("latin-1"),
@@ -418,8 +582,11 @@
             raw_path_and_query=bytes(head.target),
             header_pairs=pairs,
             is_disconnected=self.is_disconnected,
+            limit_unread=self._limit_unread,
             queued_s=trio.current_time() - self._arrived_at,
         )
+        self._unread_body_bytes = request.announced_bytes()
+        return request
 
 
 def _make_poll(stream: trio.SocketStream, events: int) -> select.poll:
--- a/kingcupvane/connection/listener.py
+++ b/kingcupvane/connection/listener.py
@@ -24,6 +24,8 @@
 # Pause of accepting when file descriptors or memory run out.
 SHORTAGE_PAUSE_S = 0.1
 SHORTAGE_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+# Pause after a connection was asked to give its place to a new one.
+FULL_PAUSE_S = 0.002
 
 
 class Listener:
@@ -88,7 +90,11 @@
             accept_nursery.start_soon(self._accept_all, sock, connections)
             await self._state.stop.wait()
             accept_nursery.cancel_scope.cancel()
-        self._accept_pending(sock, connections, limit=BACKLOG)
+        try:
+            self._accept_pending(sock, connections, limit=BACKLOG)
+        except OSError as error:
+            # Those that wait are reset, and may try another gateway.
+            logger.error("event=no-new-connections why={}", error)
         sock.close()
         for scope in list(self._state.idle_scopes):
             scope.cancel()
@@ -101,17 +107,26 @@
     async def _accept_all(
         self, sock: socket.socket, connections: trio.Nursery
     ) -> None:
+        state = self._state
         while True:
             await trio.lowlevel.wait_readable(sock)
-            if self._state.round_limiter.waiting >= WAITING_REQUESTS_MAX:
+            places = state.free_places()
+            if not places:
+                state.make_place(trio.current_time())
+                await trio.sleep(FULL_PAUSE_S)
+                continue
+            if state.round_limiter.waiting >= WAITING_REQUESTS_MAX:
                 await trio.sleep(BACKPRESSURE_PAUSE_S)
                 continue
             try:
-                self._accept_pending(sock, connections, limit=ACCEPT_BATCH_MAX)
+                self._accept_pending(
+                    sock, connections, limit=min(places, ACCEPT_BATCH_MAX)
+                )
             except OSError as error:
                 if error.errno not in SHORTAGE_ERRNOS:
                     raise
                 logger.error("event=no-new-connections why={}", error)
+                state.make_place(trio.current_time())
                 await trio.sleep(SHORTAGE_PAUSE_S)
 
     def _accept_pending(
@@ -128,6 +143,7 @@
             except ConnectionAbortedError:
                 continue  # The caller disconnected while in the queue.
             state.accepted += 1
+            state.open_count += 1
             state.accept_batch_size += 1
             connections.start_soon(self._serve, client_sock, socket_address)
 
@@ -149,7 +165,10 @@
             state=self._state,
             client_address=f"{socket_address[0]}:{socket_address[1]}",
         )
-        await connection.run()
+        try:
+            await connection.run()
+        finally:
+            self._state.open_count -= 1
 
 
 def _bind_socket(host: str, port: int) -> socket.socket:
--- a/kingcupvane/connection/response_buffer.py
+++ b/kingcupvane/connection/response_buffer.py
@@ -9,12 +9,12 @@
 
 import h11
 
+from kingcupvane.connection.memory_budget import ResponseMemoryBudget
+
 # Largest response body that is accepted.
 RESPONSE_MAX_BYTES = 16 * 1024 * 1024
 # Responses up to this size are accepted even while the shared memory is full.
 SMALL_RESPONSE_BYTES = 256 * 1024
-# Default limit of the memory for all incomplete responses together.
-BUFFERED_MAX_BYTES = 32 * 1024 * 1024
 # Chunks of a response that may be of any size; with more, their mean size must
 # reach the minimum below, since tiny chunks cost more work than they are worth.
 UNCHECKED_CHUNKS_MAX = 1024
@@ -47,20 +47,6 @@
             raise AnswerTooLargeError(f"{int(value)} bytes are announced")
 
 
-class ResponseMemoryBudget:
-    """Accounts for the memory that incomplete responses use together.
-
-    Attributes:
-        buffered_bytes: Bytes in use now.
-        max_bytes: Limit for all but small responses.
-    """
-
-    def __init__(self, *, max_bytes: int = BUFFERED_MAX_BYTES):
-        """Starts with nothing buffered."""
-        self.buffered_bytes = 0
-        self.max_bytes = max_bytes
-
-
 class PartialResponse:
     """One response while it is received; `close` releases its memory.
 
--- a/kingcupvane/connection/target_client.py
+++ b/kingcupvane/connection/target_client.py
@@ -15,6 +15,7 @@
 
 from kingcupvane.asgi import Send
 from kingcupvane.connection.bounded_response import add_chunk
+from kingcupvane.connection.request_body import Body
 from kingcupvane.connection.response_buffer import (
     AnswerTooLargeError,
     PartialResponse,
@@ -61,7 +62,7 @@
     method: str
     path: str
     headers: Mapping[str, str]
-    body: bytes
+    body: Body
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/kingcupvane/connection/target_connection.py
+++ b/kingcupvane/connection/target_connection.py
@@ -18,6 +18,7 @@
 import trio
 
 from kingcupvane.clock import Clock
+from kingcupvane.connection.request_body import Body, blocks_of
 from kingcupvane.connection.response_buffer import (
     AnswerTooLargeError,
     PartialResponse,
@@ -68,7 +69,7 @@
     method: bytes
     path: bytes
     headers: list[tuple[bytes, bytes]]
-    body: bytes
+    body: Body
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -152,14 +153,17 @@
                 headers=[*request.headers, (b"content-length", length)],
             )
         )
-        data = self.parser.send(h11.Data(data=request.body)) or b""
-        tail = self.parser.send(h11.EndOfMessage()) or b""
+        # Only counted: with a length, a body is sent as it is.
+        self.parser.send_with_data_passthrough(h11.Data(data=request.body))
+        self.parser.send(h11.EndOfMessage())
         if len(request.body) <= INLINE_BODY_BYTES:
-            await self.stream.send_all(head + data + tail)
+            await self.stream.send_all(head + request.body)
             return await self._read()
-        return await self._read_while_sending(head + data + tail)
+        return await self._read_while_sending(head, request.body)
 
-    async def _read_while_sending(self, data: bytes) -> WireResponse:
+    async def _read_while_sending(
+        self, head: bytes, body: Body
+    ) -> WireResponse:
         """Sends a large request while already reading the response.
 
         If the response is complete first, the rest of the body is not sent.
@@ -171,7 +175,10 @@
         async def send() -> None:
             nonlocal sent
             try:
-                await self.stream.send_all(data)
+                unsent_head = head
+                for block in blocks_of(body):
+                    await self.stream.send_all(unsent_head + block)
+                    unsent_head = b""
                 sent = True
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 return  # The reader gets the same error or a response.
--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -14,13 +14,17 @@
 from kingcupvane.connection import listener
 from kingcupvane.connection.endpoints import Endpoints
 from kingcupvane.connection.inbound import ServerState
+from kingcupvane.connection.memory_budget import (
+    MEBIBYTE,
+    MemoryBudget,
+    limits_for,
+)
 from kingcupvane.connection.messages import (
     FrameCodec,
     GatewayRecord,
     MirrorSource,
 )
 from kingcupvane.connection.peer import PeerClient, PeerServer
-from kingcupvane.connection.response_buffer import ResponseMemoryBudget
 from kingcupvane.connection.target_connection import ConnectionPool
 from kingcupvane.errors import UsageError
 from kingcupvane.process.catalog import Catalog, CatalogUpdate, GatewayUpdate
@@ -73,10 +77,10 @@
 # Time after SIGTERM from which a request is refused unless its deadline lies
 # before the end of the stop, in seconds.
 LATE_REQUEST_S = 2.7
-MEBIBYTE = 1 << 20
-# Largest share of the process's memory that incomplete responses of targets may
-# hold together; small responses are accepted beyond it.
-RESPONSE_MEMORY_SHARE = 0.125
+# Room for the request line beside the headers, in bytes.
+REQUEST_LINE_MAX_BYTES = 8192
+# Time that a head may take beyond the plan's limit while the process is busy.
+HEAD_TIMEOUT_MARGIN_S = 1.0
 TIMELINE_EVENTS_MAX = 2000
 
 
@@ -121,7 +125,17 @@
         self._reload = reload
         self._store = store
         self._names = names
-        self._caller_server_state = ServerState()
+        self._memory = MemoryBudget(
+            limits=limits_for(
+                settings.memory_mb * MEBIBYTE,
+                base_bytes=settings.base_memory_mb * MEBIBYTE,
+            )
+        )
+        self._caller_server_state = ServerState(
+            connections_max=settings.connections_allowed,
+            memory=self._memory.connections,
+            bodies=self._memory.bodies,
+        )
         self._decoder = decoder
         self._clock = clock or SystemClock()
         self._hybrid_clock = HybridClock(clock=self._clock)
@@ -193,11 +207,7 @@
         )
         self._pool = ConnectionPool(
             clock=self._clock,
-            memory=ResponseMemoryBudget(
-                max_bytes=int(
-                    RESPONSE_MEMORY_SHARE * settings.memory_mb * MEBIBYTE
-                )
-            ),
+            memory=self._memory.responses,
         )
         self._replicator = StoreReplicator(
             store=self._store,
@@ -343,6 +353,8 @@
             names=self._names,
             clock=self._clock,
             log_event=self._request_log.log_event,
+            bodies=self._memory.bodies,
+            responses=self._memory.responses,
         )
 
     async def run(self) -> None:
@@ -469,9 +481,7 @@
                 now,
                 heard_share=view.heard_share,
             )
-            self._caller_server_state.keep_alive_s = (
-                self._catalog.plan.limits.idle_timeout_s
-            )
+            self._apply_caller_limits()
             if now - last_slow_housekeeping_at > SLOW_HOUSEKEEPING_PERIOD_S:
                 last_slow_housekeeping_at = now
                 self._catalog.update_spillover(self._demand_by_region(now))
@@ -479,6 +489,14 @@
                 self._log_retries(now)
             await trio.sleep(HOUSEKEEPING_PERIOD_S)
 
+    def _apply_caller_limits(self) -> None:
+        """Applies the plan's limits to the connections of callers."""
+        limits = self._catalog.plan.limits
+        state = self._caller_server_state
+        state.keep_alive_s = limits.idle_timeout_s
+        state.head_timeout_s = limits.header_timeout_s + HEAD_TIMEOUT_MARGIN_S
+        state.head_max_bytes = limits.header_max_bytes + REQUEST_LINE_MAX_BYTES
+
     def _log_retries(self, now: float) -> None:
         """Logs the retries since the last call, by service and payment."""
         counts = self._retry_budgets.counts()
@@ -521,6 +539,12 @@
         metrics.gateways.set({}, len(self._peers.live_names(now)))
         metrics.connections_opened.set({}, self._pool.opened)
         metrics.connections_accepted.set({}, self._caller_server_state.accepted)
+        metrics.connections_open.set({}, self._caller_server_state.open_count)
+        metrics.body_evictions.set({}, self._memory.bodies.evictions)
+        for use, size_bytes in self._memory.used_by_use().items():
+            metrics.memory_used_bytes.set({"use": use}, size_bytes)
+        for use, size_bytes in self._memory.max_by_use().items():
+            metrics.memory_max_bytes.set({"use": use}, size_bytes)
         metrics.connections_waiting.set(
             {}, self._caller_server_state.accept_batch_size
         )
--- a/kingcupvane/process/metrics.py
+++ b/kingcupvane/process/metrics.py
@@ -169,6 +169,23 @@
             "kingcupvane_caller_connections_waiting",
             "Connections of callers that waited at the last look, at most 32.",
         )
+        self.connections_open = self._gauge(
+            "kingcupvane_caller_connections_open",
+            "Connections of callers that are open now.",
+        )
+        self.memory_used_bytes = self._gauge(
+            "kingcupvane_memory_used_bytes",
+            "Memory held for callers now, by use.",
+        )
+        self.memory_max_bytes = self._gauge(
+            "kingcupvane_memory_max_bytes",
+            "Most memory that may be held for callers, by use.",
+        )
+        self.body_evictions = self._gauge(
+            "kingcupvane_body_evictions",
+            "Request bodies given up since start: too slow while room was"
+            " short.",
+        )
         self.log_lines_left_out = self._gauge(
             "kingcupvane_log_lines_left_out", "Log lines left out since start."
         )
--- a/kingcupvane/request/authentication.py
+++ b/kingcupvane/request/authentication.py
@@ -11,6 +11,7 @@
 
 from result import Err, Ok, Result
 
+from kingcupvane.connection.request_body import Body
 from kingcupvane.errors import Refusal, Step
 from kingcupvane.version.configuration import Configuration
 
@@ -71,7 +72,7 @@
     )
 
 
-def leaks_key(key: str, *, path: str, query: str, body: bytes) -> bool:
+def leaks_key(key: str, *, path: str, query: str, body: Body) -> bool:
     """Returns whether a request would reveal the caller's key to a target."""
     if not key:
         return False
--- a/kingcupvane/request/context.py
+++ b/kingcupvane/request/context.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from kingcupvane.asgi import never_disconnected
+from kingcupvane.connection.request_body import Body
 from kingcupvane.errors import Executed, Refusal, Step
 from kingcupvane.request.retry import SAFE_METHODS
 from kingcupvane.version.items import Route, Service
@@ -45,7 +46,7 @@
     idempotency_key: str
     attempt: str
     deadline: float
-    body: bytes = b""
+    body: Body = b""
     fingerprint: str = ""
     content_type: str = ""
     accept: str = ""
--- a/kingcupvane/request/gateway_request.py
+++ b/kingcupvane/request/gateway_request.py
@@ -4,6 +4,7 @@
 from http import HTTPStatus
 
 from kingcupvane import asgi
+from kingcupvane.connection.request_body import Body
 from kingcupvane.connection.target_connection import WireResponse
 from kingcupvane.errors import Executed, Refusal, Step
 from kingcupvane.hashing import stable_hash
@@ -105,7 +106,7 @@
     caller_attempt_id: bytes
     affinity_key: str
     is_caller_retry: bool = False
-    body: bytes = b""
+    body: Body = b""
     fingerprint: str = ""
     service: str = ""
     attempted_targets: list[str] = field(default_factory=list)
--- a/kingcupvane/request/handler.py
+++ b/kingcupvane/request/handler.py
@@ -8,6 +8,8 @@
 
 from kingcupvane import asgi, problem
 from kingcupvane.clock import Clock
+from kingcupvane.connection.memory_budget import BodyBudget
+from kingcupvane.connection.request_body import Body, HeldBody
 from kingcupvane.connection.target_client import ResponseSink, TargetResponse
 from kingcupvane.errors import Refusal, Step
 from kingcupvane.process.metrics import EntryMetrics
@@ -27,8 +29,15 @@
 from kingcupvane.version.configuration import Configuration
 
 BAD_REQUEST = 400
+REQUEST_TIMEOUT = 408
 CONTENT_TOO_LARGE = 413
 UNAVAILABLE = 503
+# Assumed time until there is room for a body, in seconds.
+ROOM_RETRY_AFTER_S = 1.0
+# Share of the memory for bodies that only small ones may use.
+SMALL_BODIES_SHARE = 0.05
+# Reasons of refusals after which the rest of a body may be on its way.
+BODY_REFUSALS = ("buffers-full", "body-too-large", "body-too-slow", "body-cut")
 SERVICE_PATH = re.compile(r"^/([a-z0-9][a-z0-9._-]*)(/.*)?$")
 
 
@@ -70,7 +79,11 @@
         self._order_runner = order_runner
         self._active_requests = active_requests
         self._replica = replica
-        self._buffered_bytes = 0
+        max_bytes = settings.buffered_max_bytes
+        self._bodies = BodyBudget(
+            max_bytes=max_bytes,
+            small_bytes=int(SMALL_BODIES_SHARE * max_bytes),
+        )
 
     def _configuration(self) -> Configuration:
         return self._replica.current
@@ -96,7 +109,7 @@
                 self._refusal_counter.count(refusal)
                 if sink.response_started:
                     raise ResponseTruncatedError(refusal.reason)
-                await problem.to_response(refusal).send(send)
+                await _send_refusal(refusal, send)
         self._metrics.requests.inc({"service": service, "outcome": outcome})
         self._metrics.request_seconds.observe(
             {"service": service}, self._clock.now() - started_at
@@ -200,41 +213,61 @@
         context: RequestContext,
         sink: ResponseSink,
     ) -> Result[TargetResponse, Refusal]:
-        body = await self._read_body(request, context)
-        if isinstance(body, Err):
-            return body
+        with HeldBody(budget=self._bodies) as held:
+            body = await self._read_body(request, context, held)
+            if isinstance(body, Err):
+                return body
+            return await self._check_and_run(
+                request, context, sink, body.ok_value
+            )
+
+    async def _check_and_run(
+        self,
+        request: asgi.HttpRequest,
+        context: RequestContext,
+        sink: ResponseSink,
+        body: Body,
+    ) -> Result[TargetResponse, Refusal]:
         key = authentication.bearer_key(
             request.headers.get("authorization", "")
         )
-        if authentication.leaks_key(key, path="", query="", body=body.ok_value):
+        if authentication.leaks_key(key, path="", query="", body=body):
             return Err(refusals.key_in_content())
-        context = _with_body(context, body.ok_value)
-        self._buffered_bytes += len(context.body)
-        try:
-            return await self._run(request, context, sink)
-        finally:
-            self._buffered_bytes -= len(context.body)
+        return await self._run(request, _with_body(context, body), sink)
 
     async def _read_body(
-        self, request: asgi.HttpRequest, context: RequestContext
-    ) -> Result[bytes, Refusal]:
+        self,
+        request: asgi.HttpRequest,
+        context: RequestContext,
+        held: HeldBody,
+    ) -> Result[Body, Refusal]:
         settings = self._settings
-        free_bytes = settings.buffered_max_bytes - self._buffered_bytes
-        limit = min(settings.body_max_bytes, max(0, free_bytes))
         try:
             with trio.fail_after(context.deadline - self._clock.now()):
-                return Ok(await request.read_body(limit=limit))
-        except asgi.BodyTooLargeError:
-            if free_bytes < settings.body_max_bytes:
-                return Err(
-                    context.make_refusal(
-                        UNAVAILABLE,
-                        "buffers-full",
-                        "Too many request bodies are being held.",
-                        Step.READ,
-                        retry_after_s=1.0,
-                    )
+                return Ok(
+                    await held.read(request, limit=settings.body_max_bytes)
                 )
+        except asgi.NoRoomError as error:
+            return Err(
+                context.make_refusal(
+                    UNAVAILABLE,
+                    "buffers-full",
+                    f"Too many request bodies are being held: {error}.",
+                    Step.READ,
+                    retry_after_s=ROOM_RETRY_AFTER_S,
+                )
+            )
+        except asgi.BodyTooSlowError as error:
+            return Err(
+                context.make_refusal(
+                    REQUEST_TIMEOUT,
+                    "body-too-slow",
+                    f"The body came too slowly: {error}.",
+                    Step.READ,
+                    retry_after_s=ROOM_RETRY_AFTER_S,
+                )
+            )
+        except asgi.BodyTooLargeError:
             return Err(
                 context.make_refusal(
                     CONTENT_TOO_LARGE,
@@ -279,7 +312,7 @@
     """Closes the connection on which a streamed response stays incomplete."""
 
 
-def _with_body(context: RequestContext, body: bytes) -> RequestContext:
+def _with_body(context: RequestContext, body: Body) -> RequestContext:
     fingerprint = retry.compute_fingerprint(
         account=context.account,
         service=context.service.name,
@@ -290,6 +323,14 @@
     return replace(context, body=body, fingerprint=fingerprint)
 
 
+async def _send_refusal(refusal: Refusal, send: asgi.Send) -> None:
+    response = problem.to_response(refusal)
+    if refusal.reason in BODY_REFUSALS:
+        headers = {**response.headers, "connection": "close"}
+        response = replace(response, headers=headers)
+    await response.send(send)
+
+
 async def _send_response(response: TargetResponse, send: asgi.Send) -> None:
     headers = [
         (name, value)
--- a/kingcupvane/request/order_runner.py
+++ b/kingcupvane/request/order_runner.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from kingcupvane.clock import Clock
+from kingcupvane.connection.request_body import blocks_of
 from kingcupvane.connection.target_client import (
     ExchangeFailure,
     ExchangeFailureKind,
@@ -305,10 +306,11 @@
 
 def _new_record(context: RequestContext) -> OrderRecord:
     digest = hashlib.blake2b(
-        f"{context.service.name} {context.method} {context.path}\0".encode()
-        + context.body,
+        f"{context.service.name} {context.method} {context.path}\0".encode(),
         digest_size=DIGEST_BYTES,
     )
+    for block in blocks_of(context.body):
+        digest.update(block)
     return OrderRecord(
         token=secrets.token_hex(TOKEN_BYTES), body_digest=digest.hexdigest()
     )
--- a/kingcupvane/request/pipeline.py
+++ b/kingcupvane/request/pipeline.py
@@ -15,6 +15,11 @@
 
 from kingcupvane import asgi, problem
 from kingcupvane.clock import MILLISECONDS_PER_SECOND, Clock
+from kingcupvane.connection.memory_budget import (
+    BodyBudget,
+    ResponseMemoryBudget,
+)
+from kingcupvane.connection.request_body import HeldBody, default_budget
 from kingcupvane.connection.target_connection import WireResponse
 from kingcupvane.errors import Executed, Refusal, Step
 from kingcupvane.process.catalog import Catalog
@@ -50,6 +55,11 @@
 TRIAL_WAIT_SHARE = 0.5
 # Smallest Retry-After of a request that crashes targets, in seconds.
 TRIAL_RETRY_AFTER_MIN_S = 0.3
+# Assumed time until there is room for a body, in seconds.
+ROOM_RETRY_AFTER_S = 0.5
+# Time past the deadline at which a body that is still arriving is given up; the
+# caller has stopped waiting by then.
+LATE_BODY_S = 1.0
 # Outcomes of attempts that no target has seen.
 UNSENT_OUTCOMES = (AttemptOutcome.UNREACHABLE, AttemptOutcome.WITHHELD)
 # Callers may take these statuses as a promise that the request did not run.
@@ -100,6 +110,8 @@
         names: WireNames,
         clock: Clock,
         log_event: Callable[..., None],
+        bodies: BodyBudget | None = None,
+        responses: ResponseMemoryBudget | None = None,
     ):
         """Makes the pipeline.
 
@@ -116,7 +128,11 @@
             clock: Monotonic clock.
             log_event: Logs an event; takes its kind, `low_priority` for
                 routine events, and its fields.
+            bodies: Room for request bodies; ample by default.
+            responses: Counts the responses on their way to callers.
         """
+        self._bodies = bodies or default_budget()
+        self._responses = responses or ResponseMemoryBudget()
         self._catalog = catalog
         self._selector = selector
         self._sender = sender
@@ -171,22 +187,75 @@
     ) -> Result[WireResponse, Refusal]:
         """Reads the body, admits the request and gets its response.
 
+        Raises:
+            CallerDisconnectedError: The caller closed its connection.
+        """
+        with HeldBody(budget=self._bodies) as held:
+            refusal = await self._read_body(gateway_request, held)
+            if refusal is not None:
+                return Err(refusal)
+            try:
+                return await self._admit_and_serve(gateway_request)
+            finally:
+                gateway_request.body = b""
+
+    async def _read_body(
+        self, gateway_request: GatewayRequest, held: HeldBody
+    ) -> Refusal | None:
+        """Reads the body into the request; returns a refusal if it cannot.
+
+        Nothing has been sent to a target, so each of them promises that the
+        request was not executed.
+
         Raises:
             CallerDisconnectedError: The caller closed its connection.
         """
         limit = self._catalog.plan.limits.body_max_bytes
+        remaining_s = gateway_request.deadline - self._clock.now()
+        cause = "the deadline passed before its end"
         try:
-            gateway_request.body = await gateway_request.request.read_body(
-                limit=limit
-            )
-        except asgi.BodyTooLargeError:
-            return Err(
-                make_refusal(
-                    HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-                    "body-too-large",
-                    Step.READ,
+            with trio.move_on_after(max(0.0, remaining_s) + LATE_BODY_S):
+                gateway_request.body = await held.read(
+                    gateway_request.request, limit=limit
                 )
+                return None
+        except asgi.BodyTooLargeError as error:
+            return make_refusal(
+                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                "body-too-large",
+                Step.READ,
+                detail=f"{error}, allowed {limit}",
             )
+        except asgi.NoRoomError as error:
+            return make_refusal(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                "no-memory",
+                Step.READ,
+                retry_after_s=retry_after_s(
+                    ROOM_RETRY_AFTER_S, caller_attempt_id=gateway_request.id
+                ),
+                detail=str(error),
+            )
+        except asgi.BodyTooSlowError as error:
+            cause = str(error)
+        return make_refusal(
+            HTTPStatus.REQUEST_TIMEOUT,
+            "body-too-slow",
+            Step.READ,
+            retry_after_s=retry_after_s(
+                ROOM_RETRY_AFTER_S, caller_attempt_id=gateway_request.id
+            ),
+            detail=cause,
+        )
+
+    async def _admit_and_serve(
+        self, gateway_request: GatewayRequest
+    ) -> Result[WireResponse, Refusal]:
+        """Admits a request whose body is read, and gets its response.
+
+        Raises:
+            CallerDisconnectedError: The caller closed its connection.
+        """
         if gateway_request.request.is_disconnected():
             raise asgi.CallerDisconnectedError
         admitted = self._admit(gateway_request)
@@ -483,7 +552,11 @@
         ]
         headers.append((b"content-length", str(len(response.body)).encode()))
         self._record_outcome(gateway_request, "answered", status)
-        await self._send_to_caller(status, headers, response.body, send)
+        self._responses.buffered_bytes += len(response.body)
+        try:
+            await self._send_to_caller(status, headers, response.body, send)
+        finally:
+            self._responses.buffered_bytes -= len(response.body)
 
     async def _send_refusal(
         self,
@@ -523,6 +596,9 @@
                 for key, value in response.headers.items()
             ),
         ]
+        if refusal.step is Step.READ:
+            # The rest of the body may be on its way.
+            headers.append((b"connection", b"close"))
         await self._send_to_caller(
             response.status, headers, response.body, send
         )
--- a/kingcupvane/request/retry.py
+++ b/kingcupvane/request/retry.py
@@ -2,6 +2,7 @@
 
 import hashlib
 
+from kingcupvane.connection.request_body import Body, blocks_of
 from kingcupvane.settings import RetrySettings
 
 FINGERPRINT_BYTES = 16
@@ -43,11 +44,12 @@
 
 
 def compute_fingerprint(
-    *, account: str, service: str, method: str, path: str, body: bytes
+    *, account: str, service: str, method: str, path: str, body: Body
 ) -> str:
     """Returns a digest that is equal for repetitions of a request."""
     digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
     for part in (account, service, method, path):
         digest.update(part.encode() + b"\0")
-    digest.update(body)
+    for block in blocks_of(body):
+        digest.update(block)
     return digest.hexdigest()
--- a/kingcupvane/settings.py
+++ b/kingcupvane/settings.py
@@ -15,6 +15,8 @@
 
 from kingcupvane.errors import UsageError
 
+# Descriptors of a process that the platform keeps for files.
+FILE_DESCRIPTORS = 200
 PORT_MAX = 65535
 
 
@@ -474,10 +476,37 @@
     memory_mb: int = Field(
         300, gt=0, description="Memory limit of the process, in MB."
     )
+    base_memory_mb: int = Field(
+        88,
+        ge=0,
+        description=(
+            "Memory of the process without callers, in MB; the rest of"
+            " `memory_mb` is the budget for what it holds for them."
+        ),
+    )
+    connections_max: int | None = Field(
+        None,
+        gt=0,
+        description=(
+            "Most open connections of callers; unset for half of the sockets"
+            " that `descriptors` leaves."
+        ),
+    )
     link_mbps: float = Field(
         1000.0, gt=0, description="Bandwidth of the VM's link, in Mbit/s."
     )
 
+    @property
+    def connections_allowed(self) -> int:
+        """Most open connections of callers.
+
+        The other sockets are for targets, gateways and the store.
+        """
+        if self.connections_max is not None:
+            return self.connections_max
+        files = min(FILE_DESCRIPTORS, self.descriptors // 2)
+        return max(1, (self.descriptors - files) // 2)
+
 
 Model = TypeVar("Model", bound=StrictModel)
 
