Tests: the memory budget in any order of events

Property tests without I/O: never over, nothing leaks, only what is too slow loses its place, and small bodies find the room that large ones leave. The crowds take a header's name from where the protocol's names stand; what they send is the same.

--- a/kingcupvane/tests/hostile_crowd.py
+++ b/kingcupvane/tests/hostile_crowd.py
@@ -8,6 +8,8 @@
 
 import trio
 
+from kingcupvane.platform.names import NAMES
+
 MEGABYTE = 1 << 20
 # Largest body of the plan of these tests, in bytes.
 BODY_MAX_BYTES = 8 * MEGABYTE
@@ -24,8 +26,7 @@
 HEAD = (
     b"POST /r/1 HTTP/1.1\r\n"
     b"host: h.example\r\n"
-    b"authorization: Token k1\r\n"
-    b"kingcupvane-request-attempt-id: %d\r\n"
+    b"authorization: Token k1\r\n" + NAMES.attempt + b": %d\r\n"
 )
 CHUNKED = b"transfer-encoding: chunked\r\n\r\n"
 PAYLOAD = bytes(PIECE_BYTES)
--- /dev/null
+++ b/kingcupvane/tests/test_memory_budget.py
@@ -0,0 +1,192 @@
+"""Tests of the memory budget, without I/O and in any order of events."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from kingcupvane.connection.memory_budget import (
+    LEAST_RATE_BYTES_PER_S,
+    MEBIBYTE,
+    SMALL_BODY_BYTES,
+    STALL_MAX_S,
+    BodyBudget,
+    limits_for,
+)
+
+MAX_BYTES = 16 * SMALL_BODY_BYTES
+SMALL_BYTES = 2 * SMALL_BODY_BYTES
+LARGEST_BODY_BYTES = 64 * MEBIBYTE
+
+
+def no_eviction():
+    raise AssertionError("evicted")
+
+
+class AnyOrder(RuleBasedStateMachine):
+    """Bodies that open, grow, stall, wait, complete and end in any order."""
+
+    @initialize()
+    def start(self):
+        self.now = 0.0
+        self.budget = BodyBudget(max_bytes=MAX_BYTES, small_bytes=SMALL_BYTES)
+        self.leases = []
+        self.evicted = []
+        self.evictable = set()
+
+    def evict(self, index):
+        # Only what was too slow at the time may lose its place.
+        assert index in self.evictable
+        self.evicted.append(self.leases[index])
+
+    def note_late(self):
+        self.evictable = {
+            index
+            for index, lease in enumerate(self.leases)
+            if not lease.is_waiting
+            and not lease.is_complete
+            and self.now >= lease.late_from
+        }
+
+    def pick(self, data):
+        return data.draw(st.sampled_from(self.leases))
+
+    @rule(size=st.integers(0, 2 * MAX_BYTES))
+    def open(self, size):
+        self.note_late()
+        index = len(self.leases)
+        lease = self.budget.open(
+            size, now=self.now, evict=lambda: self.evict(index)
+        )
+        if lease is not None:
+            assert lease.reserved_bytes == size
+            self.leases.append(lease)
+
+    @precondition(lambda self: self.leases)
+    @rule(data=st.data(), size=st.integers(1, MAX_BYTES))
+    def grow(self, data, size):
+        self.note_late()
+        lease = self.pick(data)
+        before = lease.reserved_bytes
+        if self.budget.grow(lease, size, self.now):
+            assert lease.reserved_bytes >= size
+            self.budget.count_gain(lease, size, self.now)
+            assert lease.late_from <= self.now + STALL_MAX_S
+        else:
+            assert lease.reserved_bytes == before
+
+    @precondition(lambda self: self.leases)
+    @rule(data=st.data(), is_waiting=st.booleans())
+    def wait(self, data, is_waiting):
+        self.budget.set_waiting(self.pick(data), is_waiting, self.now)
+
+    @precondition(lambda self: self.leases)
+    @rule(data=st.data())
+    def complete(self, data):
+        self.pick(data).is_complete = True
+
+    @precondition(lambda self: self.leases)
+    @rule(data=st.data())
+    def close(self, data):
+        self.budget.close(self.pick(data))
+
+    @rule(seconds=st.floats(0.0, 2 * STALL_MAX_S))
+    def pass_time(self, seconds):
+        self.now += seconds
+
+    @rule()
+    def make_place(self):
+        self.note_late()
+        self.budget.evict_latest(self.now)
+
+    @invariant()
+    def never_over_and_nothing_leaks(self):
+        reserved = sum(lease.reserved_bytes for lease in self.leases)
+        assert self.budget.used_bytes == reserved
+        assert 0 <= reserved <= MAX_BYTES
+        assert all(lease.reserved_bytes == 0 for lease in self.evicted)
+        assert self.budget.evictions == len(self.evicted)
+
+    @invariant()
+    def small_bodies_find_the_room_that_large_ones_leave(self):
+        small = sum(
+            lease.reserved_bytes
+            for lease in self.leases
+            if lease.reserved_bytes <= SMALL_BODY_BYTES
+        )
+        if small > SMALL_BYTES - SMALL_BODY_BYTES:
+            return
+        lease = self.budget.open(
+            SMALL_BODY_BYTES, now=self.now, evict=no_eviction
+        )
+        assert lease is not None
+        self.budget.close(lease)
+
+    def teardown(self):
+        for lease in self.leases:
+            self.budget.close(lease)
+        assert self.budget.used_bytes == 0
+
+
+TestAnyOrder = AnyOrder.TestCase
+
+
+def budget():
+    return BodyBudget(max_bytes=MAX_BYTES, small_bytes=SMALL_BYTES)
+
+
+def test_stalled_body_gives_its_room_to_another_at_once():
+    room = budget()
+    evicted = []
+    size = MAX_BYTES - SMALL_BYTES
+    room.open(size, now=0.0, evict=lambda: evicted.append("first"))
+    assert room.open(size, now=1.0, evict=no_eviction) is None
+    assert room.open(size, now=STALL_MAX_S, evict=no_eviction) is not None
+    assert evicted == ["first"]
+
+
+def test_body_that_keeps_the_least_rate_keeps_its_place():
+    room = budget()
+    size = MAX_BYTES - SMALL_BYTES
+    lease = room.open(size, now=0.0, evict=no_eviction)
+    for second in range(1, 20):
+        room.count_gain(lease, LEAST_RATE_BYTES_PER_S, float(second))
+        assert room.open(size, now=float(second), evict=no_eviction) is None
+
+
+def test_slow_body_stays_while_there_is_room():
+    room = budget()
+    room.open(SMALL_BODY_BYTES, now=0.0, evict=no_eviction)
+    assert room.open(SMALL_BODY_BYTES, now=60.0, evict=no_eviction) is not None
+
+
+def test_slow_bodies_stay_if_even_their_room_is_not_enough():
+    room = budget()
+    room.open(SMALL_BODY_BYTES, now=0.0, evict=no_eviction)
+    assert room.open(MAX_BYTES, now=60.0, evict=no_eviction) is None
+
+
+# The users' processes have 200 to 552 MB.
+@pytest.mark.parametrize("memory_mb", [200, 300, 552])
+def test_largest_body_fits_into_the_smallest_process(memory_mb):
+    limits = limits_for(memory_mb * MEBIBYTE)
+    room = BodyBudget(max_bytes=limits.bodies, small_bytes=limits.small_bodies)
+    assert room.open(LARGEST_BODY_BYTES, now=0.0, evict=no_eviction)
+    assert room.open(SMALL_BODY_BYTES, now=0.0, evict=no_eviction)
+
+
+@given(memory_mb=st.integers(1, 4096), base_mb=st.integers(0, 4096))
+def test_bounds_of_the_uses_are_positive_and_within_the_memory(
+    memory_mb, base_mb
+):
+    memory_bytes = memory_mb * MEBIBYTE
+    limits = limits_for(memory_bytes, base_bytes=base_mb * MEBIBYTE)
+    assert 0 < limits.total <= memory_bytes
+    assert min(limits.bodies, limits.responses, limits.connections) > 0
+    assert 0 < limits.small_bodies < limits.bodies
