--- a/kingcupvane/tests/test_listener.py
+++ b/kingcupvane/tests/test_listener.py
@@ -1,5 +1,6 @@
 """Tests of the HTTP/1.1 server with callers on loopback."""
 
+import errno
 import socket
 import time
 
@@ -577,3 +578,70 @@
             assert bool(eofs) is not with_tls
 
     trio.run(main)
+
+
+# Connections had no bound but the descriptors of the process.
+def test_new_connection_takes_the_place_of_the_longest_idle_one():
+    async def check(server):
+        callers = []
+        for number in range(4):
+            callers.append(server.connect(get_request(b"/%d" % number)))
+            answer = await server.read_until(callers[-1], b"GET /%d " % number)
+            assert b" 200 " in answer
+        assert await server.read_to_end(callers[0]) == b""
+        assert await server.read_to_end(callers[1]) == b""
+        callers[3].sendall(get_request(b"/again"))
+        assert b" 200 " in await server.read_until(callers[3], b"GET /again ")
+        assert server.state.open_count <= 2
+        for caller in callers:
+            caller.close()
+
+    ServerHarness(echo, ServerState(connections_max=2)).run_server(check)
+
+
+# The end of the process: accepting at a stop met no free descriptor.
+def test_stop_without_free_descriptors_ends_cleanly(monkeypatch):
+    def accept(*_, **__):
+        raise OSError(errno.EMFILE, "too many open files")
+
+    async def check(server):
+        monkeypatch.setattr(listener.Listener, "_accept_pending", accept)
+        server.stop.set()
+        with trio.fail_after(5):
+            await server.ended.wait()
+
+    ServerHarness(echo).run_server(check)
+
+
+def test_refusal_of_a_large_unread_body_closes_the_connection():
+    async def refuse(request, send):
+        await asgi.HttpResponse(status=413, body=b"no").send(send)
+
+    async def check(server):
+        head = b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 9999999\r\n\r\n"
+        with server.connect(head + b"x" * 300000) as caller:
+            answer = await server.read_to_end(caller)
+            assert b" 413 " in answer
+            assert b"connection: close" in answer.lower()
+
+    ServerHarness(refuse).run_server(check)
+
+
+# Each chunk was kept as an object of its own, and each read with its time.
+def test_tiny_chunks_and_tiny_reads_give_the_whole_body():
+    head = b"POST /t HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n"
+    body = bytes(range(97, 123)) * 100
+
+    async def check(server):
+        with server.connect(head) as caller:
+            caller.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            chunks = b"".join(b"1\r\n%c\r\n" % byte for byte in body)
+            for start in range(0, 3000, 7):
+                caller.sendall(chunks[start : start + 7])
+                await trio.lowlevel.checkpoint()
+            caller.sendall(chunks[start + 7 :] + b"0\r\n\r\n")
+            caller.sendall(get_request(b"/next"))
+            answer = await server.read_until(caller, b"GET /next ")
+            assert b"POST /t " + body in answer
+
+    ServerHarness(echo).run_server(check)
