Memory: bodies end at the deadline, entries and look-ups bound their connections

Cause: a body had no deadline of its own at a gateway; the connections of the entry and of look-ups had no setting, or none that fits the descriptors.

Requests without a body keep the short path through asgi.read_body.

--- a/kingcupvane/asgi.py
+++ b/kingcupvane/asgi.py
@@ -73,6 +73,10 @@
     limit_unread: Callable[[], None] = read_without_limit
     queued_s: float = 0.0
 
+    def has_body(self) -> bool:
+        """Returns whether the headers announce a body."""
+        return self.announced_bytes() > 0 or "transfer-encoding" in self.headers
+
     def announced_bytes(self) -> int:
         """Returns the announced length of the body; 0 without one."""
         text = self.headers.get("content-length", "")
--- a/kingcupvane/connection/caller.py
+++ b/kingcupvane/connection/caller.py
@@ -9,6 +9,7 @@
 from kingcupvane import asgi, problem
 from kingcupvane.clock import Clock
 from kingcupvane.connection import listener
+from kingcupvane.connection.inbound import ServerState
 from kingcupvane.errors import Refusal, Step
 from kingcupvane.process.membership import Membership
 from kingcupvane.process.metrics import EntryMetrics
@@ -41,6 +42,7 @@
         membership: Membership,
         metrics: EntryMetrics,
         handler: RequestHandler,
+        state: ServerState,
     ):
         """Makes a server; `run` binds its socket.
 
@@ -51,6 +53,7 @@
             membership: Tracks the live and leaving entries.
             metrics: Counts the look-ups.
             handler: Serves all requests but look-ups.
+            state: State of the server's connections, with their limits.
         """
         self._settings = settings
         self._clock = clock
@@ -58,6 +61,7 @@
         self._membership = membership
         self._metrics = metrics
         self._handler = handler
+        self._state = state
         self.active_request_count = 0
         self.last_activity_at = float("-inf")
         self._lookup_responses_by_account: dict[str, asgi.HttpResponse] = {}
@@ -72,6 +76,7 @@
             stop=stop,
             certificate=tls.certificate,
             private_key=tls.private_key,
+            state=self._state,
         )
 
     async def handle(self, request: asgi.HttpRequest, send: asgi.Send) -> None:
--- a/kingcupvane/connection/endpoints.py
+++ b/kingcupvane/connection/endpoints.py
@@ -9,6 +9,7 @@
 from kingcupvane import asgi
 from kingcupvane.clock import Clock
 from kingcupvane.connection import listener
+from kingcupvane.connection.inbound import ServerState
 from kingcupvane.process.metrics import (
     METRICS_PATH,
     PROMETHEUS_CONTENT_TYPE,
@@ -69,6 +70,9 @@
             self._answer_lookup,
             address=self._settings.lookup_address,
             stop=self._stop,
+            state=ServerState(
+                connections_max=self._settings.lookup_connections_allowed
+            ),
         )
 
     async def serve_metrics(self) -> None:
--- a/kingcupvane/connection/request_body.py
+++ b/kingcupvane/connection/request_body.py
@@ -1,5 +1,6 @@
 """Reading of request bodies within the memory budget of the process."""
 
+import math
 from collections.abc import AsyncIterator, Iterator
 
 import trio
@@ -129,7 +130,13 @@
         if self._lease is not None:
             self._budget.close(self._lease)
 
-    async def read(self, request: asgi.HttpRequest, *, limit: int) -> Body:
+    async def read(
+        self,
+        request: asgi.HttpRequest,
+        *,
+        limit: int,
+        give_up_at: float = math.inf,
+    ) -> Body:
         """Reads the whole body.
 
         A body whose announced length cannot be taken is not read at all.
@@ -137,13 +144,17 @@
         Args:
             request: The request.
             limit: Largest accepted size, in bytes.
+            give_up_at: Time of trio's clock by which it must be complete.
 
         Raises:
             BodyTooLargeError: The body is larger than `limit`.
             NoRoomError: The process has no room for it now.
-            BodyTooSlowError: It came too slowly while others needed its room.
+            BodyTooSlowError: It was not complete in time, or came too slowly
+                while others needed its room.
             CallerDisconnectedError: The caller disconnected before its end.
         """
+        if not request.has_body():
+            return await request.read_body(limit=limit)
         announced = request.announced_bytes()
         if announced > limit:
             raise asgi.BodyTooLargeError(f"{announced} bytes are announced")
@@ -152,13 +163,18 @@
         )
         if self._lease is None:
             raise asgi.NoRoomError(self._budget.explain(announced))
+        self._scope.deadline = give_up_at
         with self._scope:
             await self._receive_all(request, self._lease, limit)
-        if self._lease.is_evicted:
-            raise asgi.BodyTooSlowError(self._budget.explain(announced))
+        if self._lease.is_evicted or self._scope.cancelled_caught:
+            raise asgi.BodyTooSlowError(self._explain_slow(announced))
         self._lease.is_complete = True
         return self._buffer.take()
 
+    def _explain_slow(self, announced: int) -> str:
+        cause = "evicted" if self._lease.is_evicted else "not complete in time"
+        return f"{cause} {self._budget.explain(announced)}"
+
     def _evict(self) -> None:
         self._buffer.clear()
         self._scope.cancel()
--- a/kingcupvane/process/entry.py
+++ b/kingcupvane/process/entry.py
@@ -10,6 +10,7 @@
 from kingcupvane.clock import MILLISECONDS_PER_SECOND, Clock, SystemClock
 from kingcupvane.connection import listener
 from kingcupvane.connection.caller import CallerServer
+from kingcupvane.connection.inbound import ServerState
 from kingcupvane.connection.messages import FrameCodec
 from kingcupvane.connection.peer import PeerClient, PeerServer
 from kingcupvane.connection.target_client import TargetClient
@@ -247,6 +248,10 @@
             membership=self._membership,
             metrics=self._metrics,
             handler=handler,
+            state=ServerState(
+                connections_max=self._settings.connections_max,
+                bodies=handler.bodies,
+            ),
         )
 
     def _create_peer_server(self) -> PeerServer:
--- a/kingcupvane/request/handler.py
+++ b/kingcupvane/request/handler.py
@@ -42,7 +42,11 @@
 
 
 class RequestHandler:
-    """Serves callers' requests for services."""
+    """Serves callers' requests for services.
+
+    Attributes:
+        bodies: Room for request bodies.
+    """
 
     def __init__(
         self,
@@ -80,7 +84,7 @@
         self._active_requests = active_requests
         self._replica = replica
         max_bytes = settings.buffered_max_bytes
-        self._bodies = BodyBudget(
+        self.bodies = BodyBudget(
             max_bytes=max_bytes,
             small_bytes=int(SMALL_BODIES_SHARE * max_bytes),
         )
@@ -213,7 +217,7 @@
         context: RequestContext,
         sink: ResponseSink,
     ) -> Result[TargetResponse, Refusal]:
-        with HeldBody(budget=self._bodies) as held:
+        with HeldBody(budget=self.bodies) as held:
             body = await self._read_body(request, context, held)
             if isinstance(body, Err):
                 return body
--- a/kingcupvane/request/pipeline.py
+++ b/kingcupvane/request/pipeline.py
@@ -212,13 +212,14 @@
         """
         limit = self._catalog.plan.limits.body_max_bytes
         remaining_s = gateway_request.deadline - self._clock.now()
-        cause = "the deadline passed before its end"
         try:
-            with trio.move_on_after(max(0.0, remaining_s) + LATE_BODY_S):
-                gateway_request.body = await held.read(
-                    gateway_request.request, limit=limit
-                )
-                return None
+            gateway_request.body = await held.read(
+                gateway_request.request,
+                limit=limit,
+                give_up_at=trio.current_time()
+                + max(0.0, remaining_s)
+                + LATE_BODY_S,
+            )
         except asgi.BodyTooLargeError as error:
             return make_refusal(
                 HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
@@ -237,16 +238,16 @@
                 detail=str(error),
             )
         except asgi.BodyTooSlowError as error:
-            cause = str(error)
-        return make_refusal(
-            HTTPStatus.REQUEST_TIMEOUT,
-            "body-too-slow",
-            Step.READ,
-            retry_after_s=retry_after_s(
-                ROOM_RETRY_AFTER_S, caller_attempt_id=gateway_request.id
-            ),
-            detail=cause,
-        )
+            return make_refusal(
+                HTTPStatus.REQUEST_TIMEOUT,
+                "body-too-slow",
+                Step.READ,
+                retry_after_s=retry_after_s(
+                    ROOM_RETRY_AFTER_S, caller_attempt_id=gateway_request.id
+                ),
+                detail=str(error),
+            )
+        return None
 
     async def _admit_and_serve(
         self, gateway_request: GatewayRequest
--- a/kingcupvane/settings.py
+++ b/kingcupvane/settings.py
@@ -268,6 +268,9 @@
     metrics_address: Address | None = Field(
         None, description="Address for metrics; if unset, none are served."
     )
+    connections_max: int = Field(
+        2000, gt=0, description="Most open connections of callers."
+    )
     peer_secret_file: str = Field(
         "",
         description="File of the daemons' shared secret; empty for none.",
@@ -504,8 +507,17 @@
         """
         if self.connections_max is not None:
             return self.connections_max
-        files = min(FILE_DESCRIPTORS, self.descriptors // 2)
-        return max(1, (self.descriptors - files) // 2)
+        return max(1, self._sockets // 2)
+
+    @property
+    def lookup_connections_allowed(self) -> int:
+        """Most open connections for look-ups, which are short."""
+        return max(1, self._sockets // 8)
+
+    @property
+    def _sockets(self) -> int:
+        """Descriptors that are left for sockets."""
+        return self.descriptors - min(FILE_DESCRIPTORS, self.descriptors // 2)
 
 
 Model = TypeVar("Model", bound=StrictModel)
--- a/kingcupvane/tests/test_request_body.py
+++ b/kingcupvane/tests/test_request_body.py
@@ -40,11 +40,14 @@
             await trio.sleep_forever()
         return {"type": "http.request", "body": b"", "more_body": False}
 
+    headers = {"transfer-encoding": "chunked"}
+    if announced:
+        headers = {"content-length": str(announced)}
     return asgi.HttpRequest(
         method="POST",
         path="/",
         query="",
-        headers={"content-length": str(announced)} if announced else {},
+        headers=headers,
         receive=receive,
         is_disconnected=lambda: is_disconnected,
     )
@@ -141,6 +144,20 @@
     run(check)
 
 
+def test_body_that_is_not_complete_in_time_is_given_up():
+    room = budget()
+    stalled = request([b"x"], stall=True)
+
+    async def check():
+        with HeldBody(budget=room) as held:
+            with pytest.raises(asgi.BodyTooSlowError):
+                await held.read(stalled, limit=LIMIT, give_up_at=30.0)
+        assert trio.current_time() == 30.0
+        assert room.used_bytes == 0
+
+    run(check)
+
+
 @pytest.mark.parametrize(
     ("is_disconnected", "error"),
     [(False, asgi.NoRoomError), (True, asgi.CallerDisconnectedError)],
