--- a/kingcupvane/connection/memory_budget.py
+++ b/kingcupvane/connection/memory_budget.py
@@ -245,7 +245,8 @@
     """Accounts for the memory that responses use together.
 
     Attributes:
-        buffered_bytes: Bytes in use now.
+        buffered_bytes: Bytes of incomplete responses.
+        sending_bytes: Bytes of complete responses on their way to callers.
         max_bytes: Limit for all but small responses.
     """
 
@@ -255,8 +256,26 @@
     def __init__(self, *, max_bytes: int = DEFAULT_MAX_BYTES):
         """Starts with nothing buffered."""
         self.buffered_bytes = 0
+        self.sending_bytes = 0
         self.max_bytes = max_bytes
 
+    @property
+    def used_bytes(self) -> int:
+        """Bytes of all responses."""
+        return self.buffered_bytes + self.sending_bytes
+
+    def is_full(self) -> bool:
+        """Returns whether only small responses may still grow.
+
+        Callers that take their responses slowly may hold as much again: the
+        failure of a response whose request has run costs more than the refusal
+        of a body.
+        """
+        return (
+            self.buffered_bytes > self.max_bytes
+            or self.used_bytes > 2 * self.max_bytes
+        )
+
 
 class MemoryBudget:
     """What a process may hold for others, by use.
@@ -281,7 +300,7 @@
         """Returns the bytes in use, by use."""
         return {
             "bodies": self.bodies.used_bytes,
-            "responses": self.responses.buffered_bytes,
+            "responses": self.responses.used_bytes,
             "connections": self.connections.used_bytes,
         }
 
--- a/kingcupvane/connection/response_buffer.py
+++ b/kingcupvane/connection/response_buffer.py
@@ -106,13 +106,10 @@
                 f"{self._size_bytes} bytes in {self._chunk_count} pieces"
             )
         memory = self._memory
-        if (
-            memory.buffered_bytes > memory.max_bytes
-            and self._size_bytes > SMALL_RESPONSE_BYTES
-        ):
+        if memory.is_full() and self._size_bytes > SMALL_RESPONSE_BYTES:
             raise AnswerTooLargeError(
                 f"{self._size_bytes} bytes while answers hold"
-                f" {memory.buffered_bytes}"
+                f" {memory.used_bytes}"
             )
         return self._chunk_count % CHUNKS_PER_YIELD == 0
 
--- a/kingcupvane/request/pipeline.py
+++ b/kingcupvane/request/pipeline.py
@@ -553,11 +553,11 @@
         ]
         headers.append((b"content-length", str(len(response.body)).encode()))
         self._record_outcome(gateway_request, "answered", status)
-        self._responses.buffered_bytes += len(response.body)
+        self._responses.sending_bytes += len(response.body)
         try:
             await self._send_to_caller(status, headers, response.body, send)
         finally:
-            self._responses.buffered_bytes -= len(response.body)
+            self._responses.sending_bytes -= len(response.body)
 
     async def _send_refusal(
         self,
--- a/kingcupvane/tests/test_memory_budget.py
+++ b/kingcupvane/tests/test_memory_budget.py
@@ -17,6 +17,7 @@
     SMALL_BODY_BYTES,
     STALL_MAX_S,
     BodyBudget,
+    ResponseMemoryBudget,
     limits_for,
 )
 
@@ -190,3 +191,15 @@
     assert 0 < limits.total <= memory_bytes
     assert min(limits.bodies, limits.responses, limits.connections) > 0
     assert 0 < limits.small_bodies < limits.bodies
+
+
+def test_slow_takers_of_responses_may_hold_as_much_again():
+    responses = ResponseMemoryBudget(max_bytes=100)
+    responses.sending_bytes = 150
+    assert not responses.is_full()
+    responses.buffered_bytes = 51
+    assert responses.is_full()
+    responses.sending_bytes = 0
+    assert not responses.is_full()
+    responses.buffered_bytes = 101
+    assert responses.is_full()
--- a/kingcupvane/tests/test_pipeline.py
+++ b/kingcupvane/tests/test_pipeline.py
@@ -6,6 +6,7 @@
 import trio
 
 from kingcupvane import asgi
+from kingcupvane.connection.memory_budget import BodyBudget
 from kingcupvane.connection.messages import Stamp
 from kingcupvane.connection.target_connection import (
     ConnectFailedError,
@@ -916,3 +917,22 @@
     gateway.pool.unreachable = {"t0", "t1"}
     assert gateway.send_request()[0] == 200
     assert set(gateway.retry_budgets.counts()) <= {("reads", "unreachable")}
+
+
+@pytest.mark.parametrize(
+    ("announced", "room_bytes", "status"),
+    [(99_999_999_999, 1 << 20, 413), (1 << 20, 1 << 19, 503)],
+)
+def test_body_that_cannot_be_taken_is_refused_before_it_is_read(
+    make_gateway, announced, room_bytes, status
+):
+    gateway = make_gateway()
+    gateway.pipeline._bodies = BodyBudget(max_bytes=room_bytes, small_bytes=1)
+    got_status, headers, body = gateway.send_request(
+        content_length=str(announced)
+    )
+    assert got_status == status
+    assert headers[b"connection"] == b"close"
+    assert (b"retry-after" in headers) == (status == 503)
+    assert b'"executed":"no"' in body
+    assert not gateway.pipeline._bodies.used_bytes
