--- a/kingcupvane/tests/test_pipeline.py
+++ b/kingcupvane/tests/test_pipeline.py
@@ -6,6 +6,7 @@
 import trio
 
 from kingcupvane import asgi
+from kingcupvane.connection.memory_budget import BodyBudget
 from kingcupvane.connection.messages import Stamp
 from kingcupvane.connection.target_connection import (
     ConnectFailedError,
@@ -1043,3 +1044,22 @@
     refuse(gateway, 1, deadline="2000")
     returning = [f["returning"] for _, _, f in gateway.logged_events]
     assert returning == [False, True]
+
+
+@pytest.mark.parametrize(
+    ("announced", "room_bytes", "status"),
+    [(99_999_999_999, 1 << 20, 413), (1 << 20, 1 << 19, 503)],
+)
+def test_body_that_cannot_be_taken_is_refused_before_it_is_read(
+    make_gateway, announced, room_bytes, status
+):
+    gateway = make_gateway()
+    gateway.pipeline._bodies = BodyBudget(max_bytes=room_bytes, small_bytes=1)
+    got_status, headers, body = gateway.send_request(
+        content_length=str(announced)
+    )
+    assert got_status == status
+    assert headers[b"connection"] == b"close"
+    assert (b"retry-after" in headers) == (status == 503)
+    assert b'"executed":"no"' in body
+    assert not gateway.pipeline._bodies.used_bytes
