Usage reports: tests of a thawed holder and of a record that another one wrote

Cause: two mutations passed: a lease counted from after its renewal, and a term that goes on after another holder's write.

--- a/kingcupvane/tests/test_usage_task.py
+++ b/kingcupvane/tests/test_usage_task.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from kingcupvane.process import usage_task
+from kingcupvane.process.usage_duty import RECORD_KEY, decode_record, encode
 from kingcupvane.tests.usage_fleet import LEASE_S, Fleet
 
 RUN_S = 60.0
@@ -243,6 +244,20 @@
     assert len(holders) > 1
 
 
+@pytest.mark.parametrize(
+    "fault", [freeze_in_send, freeze_in_renewal, freeze_in_write]
+)
+@pytest.mark.parametrize("duration_s", [8.0, 8.4, 8.8, 9.2, 9.6, 10.0])
+def test_thawed_holder_does_not_send_what_its_successor_has_sent(
+    fault, duration_s
+):
+    # The platform's outage leaves the frozen holder a recorded window to send.
+    faults = [(13.5, stop_platform, 0, 5.5), (14.2, fault, 0, duration_s)]
+    fleet = play(Fleet(enforces=False), faults, run_s=40.0)
+    fleet.check_safety()
+    assert len({act.sender for act in fleet.platform.accepted}) == 2
+
+
 @given(faults=fault_lists, seed=st.integers(0, 1000))
 @settings(max_examples=10)
 def test_fleet_works_on_after_any_order_of_faults(faults, seed):
@@ -272,6 +287,22 @@
     check_reports(fleet)
 
 
+def test_holder_whose_record_another_one_has_written_uses_no_token_of_it():
+    async def take_over_record(fleet, *, node, duration_s):
+        item = fleet.store.get(RECORD_KEY).ok_value
+        record = decode_record(item.value).ok_value
+        taken = record.taken_over_by("other", first_window=0)
+        fleet.store.compare_and_swap(
+            RECORD_KEY, encode(taken), expected=item.revision
+        )
+
+    fleet = play(Fleet(), [(12.0, take_over_record, 0, 0.0)])
+    fleet.check_safety()
+    tokens = [act.token for act in fleet.platform.accepted]
+    assert 2 not in tokens
+    assert tokens[-1] == 3
+
+
 def test_platform_outage_is_followed_by_the_windows_that_wait():
     fleet = play(Fleet(), [(15.0, stop_platform, 0, 8.0)])
     fleet.check_safety()
