Pace: more than the first rate at a cold target only where it is needed

Change: the raised rate takes only requests that would wait or be refused elsewhere (TargetSelector asks twice while a target is cold).

--- a/kingcupvane/request/pace.py
+++ b/kingcupvane/request/pace.py
@@ -263,6 +263,7 @@
         ranking: Names of the advertised gateways, first senders first.
         senders_since: Monotonic time from which the senders are the same.
         bucket: Limits this gateway's rate while the target is cold.
+        sent_at: Monotonic time of its last request while the target is cold.
     """
 
     target: RegisteredTarget
@@ -281,6 +282,7 @@
     ranking: list[str] = field(default_factory=list)
     senders_since: float = -math.inf
     bucket: TokenBucket | None = None
+    sent_at: float = -math.inf
 
     def begin_phase(self, now: float, *, level: int = 0) -> None:
         """Starts a phase with its first limit."""
@@ -410,8 +412,22 @@
         pace = self._paces_by_target.get(target)
         return pace is not None and now < pace.cold_until
 
-    def may_use(self, view: TargetView, now: float) -> bool:
-        """Returns whether this gateway may send a request to a target now."""
+    def has_rate_limited(self) -> bool:
+        """Returns whether the rate of any target is limited."""
+        return any(map(self._is_rate_limited, self._paces_by_target.values()))
+
+    def may_use(
+        self, view: TargetView, now: float, *, is_needed: bool = True
+    ) -> bool:
+        """Returns whether this gateway may send a request to a target now.
+
+        Args:
+            view: The target.
+            now: Monotonic seconds.
+            is_needed: Whether the request would wait or be refused elsewhere.
+                If not, a cold target gets no more than before any answer:
+                it is slower than others.
+        """
         pace = self._paces_by_target.get(view.target.name)
         if pace is None:
             return True
@@ -424,7 +440,7 @@
         if view.in_flight and room <= -QUEUE_MAX:
             return False
         if self._is_rate_limited(pace):
-            return self._may_send_cold(pace, now)
+            return self._may_send_cold(pace, now, is_needed=is_needed)
         if view.in_flight < self._concurrency_max(pace):
             return True
         if room < 1.0 or pace.is_own:
@@ -439,6 +455,7 @@
         pace = self._paces_by_target.get(target)
         if pace is not None and self._is_rate_limited(pace):
             self._bucket(pace, now).try_acquire(now)
+            pace.sent_at = now
 
     def record_outcome(
         self,
@@ -686,13 +703,19 @@
         is_among_rest = self._name in pace.ranking[:rest]
         return part + is_among_rest + pace.extra
 
-    def _may_send_cold(self, pace: _TargetPace, now: float) -> bool:
+    def _may_send_cold(
+        self, pace: _TargetPace, now: float, *, is_needed: bool
+    ) -> bool:
         if now < self._sends_cold_from:
             return False
         if self._name not in pace.ranking[:SENDERS_PER_COLD_TARGET]:
             return False
         if pace.bucket is None:
             return True
+        rate = self._cold_rate(pace.target.service)
+        first = self._bound.first_share(rate)
+        if not is_needed and now - pace.sent_at < 1.0 / first:
+            return False
         return self._bucket(pace, now).wait_s(now) <= 0.0
 
     def _bucket(self, pace: _TargetPace, now: float) -> TokenBucket:
--- a/kingcupvane/request/selection.py
+++ b/kingcupvane/request/selection.py
@@ -88,7 +88,20 @@
     def select(
         self, gateway_request: GatewayRequest, now: float
     ) -> Candidate | None:
-        """Returns the best usable target, or None if there is none."""
+        """Returns the best usable target, or None if there is none.
+
+        A target that is cold as a whole gets more requests only if this one
+        would wait or be refused elsewhere.
+        """
+        has_cold = self._catalog.pace.has_rate_limited()
+        candidate = self._choose(gateway_request, now, is_needed=not has_cold)
+        if has_cold and (candidate is None or candidate.wait_s > 0.0):
+            candidate = self._choose(gateway_request, now, is_needed=True)
+        return candidate
+
+    def _choose(
+        self, gateway_request: GatewayRequest, now: float, *, is_needed: bool
+    ) -> Candidate | None:
         service = gateway_request.service
         shares_by_cohort = self._shares_by_cohort(service)
         size = len(gateway_request.body) + int(
@@ -107,7 +120,13 @@
                     service, gateway_request.ranking_key, size=size
                 ),
                 affinity_key=gateway_request.affinity_key,
-                usable=partial(self._may_use, gateway_request, cohort, now),
+                usable=partial(
+                    self._may_use,
+                    gateway_request,
+                    cohort,
+                    now,
+                    is_needed=is_needed,
+                ),
                 service_time=self._catalog.service_times.get(
                     service, gateway_request.route.name
                 ),
@@ -135,11 +154,14 @@
         cohort: str,
         now: float,
         view: TargetView,
+        *,
+        is_needed: bool,
     ) -> bool:
         """Returns whether the request may be sent to a target now.
 
         `cohort` limits the choice to targets of the new or the old version of
-        a rollout; it is empty if the service has no rollout.
+        a rollout; it is empty if the service has no rollout. `is_needed` tells
+        whether the request would wait or be refused elsewhere.
         """
         target = view.target
         if view.is_leaving or target.name in gateway_request.excluded_targets:
@@ -155,7 +177,7 @@
             is_new = target.version == spec.version
             if is_new != (cohort == NEW_COHORT):
                 return False
-        if not self._catalog.pace.may_use(view, now):
+        if not self._catalog.pace.may_use(view, now, is_needed=is_needed):
             return False
         return self._catalog.target_limits.may_use(target, now)
 
--- a/kingcupvane/tests/test_pace.py
+++ b/kingcupvane/tests/test_pace.py
@@ -589,6 +589,27 @@
     assert 1.5 * first < late <= largest * 1.02
 
 
+def test_cold_target_gets_the_first_rate_while_others_have_room():
+    sent = {}
+    for is_needed in (False, True):
+        fleet = GreedyFleet()
+        limiter = next(
+            limiter
+            for limiter in fleet.limiters.values()
+            if limiter.may_use(fleet.view, 0.0)
+        )
+        sent[is_needed] = 0
+        for step in range(400):
+            now = step * TICK_S
+            if limiter.may_use(fleet.view, now, is_needed=is_needed):
+                limiter.record_request("t", now)
+                sent[is_needed] += 1
+            answer(limiter, fleet.view, now)
+    first = fleet.bound.first_share(COLD_RATE)
+    assert 0.9 * 20.0 * first <= sent[False] <= 1 + 20.0 * first
+    assert sent[True] > 1.5 * sent[False]
+
+
 # Whole fleets against fake targets.
 
 
