Load shedding: routes without requests and hopeless objectives bound nothing

Cause, found by reading: a route of high priority whose objective can't be met left no queue at all to the lower ones, and a withdrawn route bound them for ten seconds but was kept forever.

--- a/kingcupvane/request/load_shedding.py
+++ b/kingcupvane/request/load_shedding.py
@@ -35,9 +35,11 @@
 # seconds.
 REPORT_EXPIRY_S = 2.0
 # Age up to which a silent peer still counts as one that serves callers, in
-# seconds: it may be alive behind a cut link. Routes without requests for that
-# long no longer bound the waits of lower priorities.
+# seconds: it may be alive behind a cut link.
 SILENT_PEER_EXPIRY_S = 10.0
+# Time without requests after which a route no longer bounds the waits of lower
+# priorities, in seconds.
+ROUTE_EXPIRY_S = 10.0
 # Refused part of the wanted slots at which an overload begins, and at which it
 # ends.
 OVERLOAD_BEGIN = 0.05
@@ -267,6 +269,7 @@
         }
 
     def _update(self, service: str, state: ServiceState, now: float) -> None:
+        self._remove_old_waits(service, now)
         own = {
             service: self._counter.loads(service, self._shares(service), now)
         }
@@ -329,21 +332,22 @@
         draw = stable_hash(f"share/{request_id}") / HASH_RANGE
         is_within_share = draw < state.shares.get(priority, 1.0)
         part = SHARE_WAIT if is_within_share else BEYOND_SHARE_WAIT
-        return part * min(
-            limit_s, self._tolerable_wait_s(service, priority, now)
-        )
+        return part * min(limit_s, self._tolerable_wait_s(service, priority))
 
-    def _tolerable_wait_s(
-        self, service: str, priority: int, now: float
-    ) -> float:
+    def _remove_old_waits(self, service: str, now: float) -> None:
+        waits = self._tolerable_waits.get(service, {})
+        for key, wait in list(waits.items()):
+            if now - wait.counted_at > ROUTE_EXPIRY_S:
+                del waits[key]
+
+    def _tolerable_wait_s(self, service: str, priority: int) -> float:
         """Returns the wait that all higher priorities can bear, in seconds."""
         waits_s = (
             wait.wait_s
             for wait in self._tolerable_waits.get(service, {}).values()
             if wait.priority < priority
-            and now - wait.counted_at < SILENT_PEER_EXPIRY_S
         )
-        return max(0.0, min(waits_s, default=math.inf))
+        return min(waits_s, default=math.inf)
 
 
 def _wanted(loads_by_service: ServiceLoads, service: str) -> float:
--- a/kingcupvane/request/slot_admission.py
+++ b/kingcupvane/request/slot_admission.py
@@ -21,6 +21,7 @@
 from kingcupvane.request.wait_limit import (
     CALLER_ROUND_TRIP_S,
     RETRY_AFTER_MIN_S,
+    WAIT_MIN_S,
     allowed_wait_s,
     retry_after_s,
 )
@@ -56,8 +57,9 @@
             route=route.name,
             priority=gateway_request.priority,
             service_s=service_s,
-            tolerable_wait_s=(
-                route.latency_objective_s - service_s - CALLER_ROUND_TRIP_S
+            tolerable_wait_s=max(
+                WAIT_MIN_S,
+                route.latency_objective_s - service_s - CALLER_ROUND_TRIP_S,
             ),
             is_returning=gateway_request.is_caller_retry,
             now=self._clock.now(),
