--- a/kingcupvane/tests/test_wait_limit.py
+++ b/kingcupvane/tests/test_wait_limit.py
@@ -95,6 +95,50 @@
     assert retry_s > 2 * first_attempt_s
 
 
+def replay_with_retries(*, is_overload_known, seed):
+    """Simulates a target at which a third of the requests are late already.
+
+    Args:
+        is_overload_known: Whether the gateway knows of the overload.
+        seed: Seed of the arrival times.
+
+    Returns:
+        The share of the first attempts that meet the latency objective.
+    """
+    rng = random.Random(seed)
+    slot_free_at = [0.0] * SLOTS
+    now = 0.0
+    first_attempts = in_time = 0
+    while now < 20.0:
+        now += rng.expovariate(1.5 * SLOTS / SERVICE_TIME_S)
+        is_retry = rng.random() < 1 / 3
+        start = max(now, slot_free_at[0])
+        queue_wait_s = start - now
+        allowed_s = allowed_wait_s(
+            candidate(queue_wait_s),
+            latency_objective_s=OBJECTIVE_S,
+            elapsed_s=0.0,
+            remaining_s=DEADLINE_S,
+            is_caller_retry=is_retry,
+            is_overloaded=is_overload_known,
+        )
+        first_attempts += not is_retry
+        if queue_wait_s > allowed_s:
+            continue
+        is_in_time = queue_wait_s + SERVICE_TIME_S <= OBJECTIVE_S
+        in_time += is_in_time and not is_retry
+        heapq.heapreplace(slot_free_at, start + SERVICE_TIME_S)
+    return in_time / first_attempts
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_late_requests_leave_the_queue_to_those_in_time_in_an_overload(seed):
+    """Otherwise they lengthen a queue that first attempts can't bear."""
+    known = replay_with_retries(is_overload_known=True, seed=seed)
+    unknown = replay_with_retries(is_overload_known=False, seed=seed)
+    assert known >= 0.9 / 1.5 > unknown
+
+
 def test_allowed_wait_does_not_exceed_the_deadline():
     for is_retry in (False, True):
         allowed_s = allowed_wait_s(
