--- a/kingcupvane/request/load_shedding.py
+++ b/kingcupvane/request/load_shedding.py
@@ -40,10 +40,11 @@
 # Time without requests after which a route no longer bounds the waits of lower
 # priorities, in seconds.
 ROUTE_EXPIRY_S = 10.0
-# Refused part of the wanted slots at which an overload begins, and at which it
-# ends.
+# Refused part of the wanted slots at which an overload begins; it ends when the
+# part has been below the lower bound for some time, in seconds.
 OVERLOAD_BEGIN = 0.05
 OVERLOAD_END = 0.02
+OVERLOAD_HOLD_S = 2.0
 # Refused slots below which no overload begins: a few requests for a single
 # busy target.
 OVERLOAD_SLOTS_MIN = 1.0
@@ -93,6 +94,8 @@
         own_part: This gateway's part of what all gateways serve.
         shares: Share of each priority that may wait for a slot.
         report_age_s: Age of the oldest report that was used, in seconds.
+        short_of_slots_at: Monotonic time at which slots were last missing, in
+            seconds.
         updated_at: Monotonic time of the last update, in seconds.
     """
 
@@ -104,6 +107,7 @@
     own_part: float = 1.0
     shares: dict[int, float] = field(default_factory=dict)
     report_age_s: float = 0.0
+    short_of_slots_at: float = float("-inf")
     updated_at: float = float("-inf")
 
     @property
@@ -144,12 +148,7 @@
         refused = sum(load.refused for load in loads)
         self.returning = sum(load.returning for load in loads)
         self.served = max(0.0, self.wanted - refused)
-        missing = refused - self.idle_slots
-        if was_overloaded:
-            self.is_overloaded = missing > OVERLOAD_END * self.wanted
-        else:
-            begin = max(OVERLOAD_SLOTS_MIN, OVERLOAD_BEGIN * self.wanted)
-            self.is_overloaded = missing > begin
+        self._update_overload(refused - self.idle_slots, now)
         fleet_shares = {
             load.priority: load.allowed / load.wanted
             for load in loads
@@ -168,6 +167,14 @@
         )
         return self.is_overloaded != was_overloaded
 
+    def _update_overload(self, missing: float, now: float) -> None:
+        if missing > max(OVERLOAD_SLOTS_MIN, OVERLOAD_BEGIN * self.wanted):
+            self.is_overloaded = True
+        if missing > OVERLOAD_END * self.wanted:
+            self.short_of_slots_at = now
+        elif now - self.short_of_slots_at > OVERLOAD_HOLD_S:
+            self.is_overloaded = False
+
 
 class LoadShedder:
     """One gateway's shares by service and priority; does no I/O."""
