--- a/kingcupvane/request/load_shedding.py
+++ b/kingcupvane/request/load_shedding.py
@@ -51,9 +51,9 @@
 # Least part of the served slots for callers who come back too late for their
 # objective.
 LATE_ROOM_MIN = 0.1
-# Part of the allowed wait that requests within the share of their priority
-# have, and those beyond it: with no queue at all, targets would idle until word
-# of their free slots arrives.
+# Part of the wait that higher priorities can bear for which requests within the
+# share of a lower one may wait, and those beyond it: with no queue at all,
+# targets would idle until word of their free slots arrives.
 SHARE_WAIT = 0.9
 BEYOND_SHARE_WAIT = 0.4
 # Weight of the fleet's mean share in a gateway's own: holds them together.
@@ -339,7 +339,7 @@
         draw = stable_hash(f"share/{request_id}") / HASH_RANGE
         is_within_share = draw < state.shares.get(priority, 1.0)
         part = SHARE_WAIT if is_within_share else BEYOND_SHARE_WAIT
-        return part * min(limit_s, self._tolerable_wait_s(service, priority))
+        return min(limit_s, part * self._tolerable_wait_s(service, priority))
 
     def _remove_old_waits(self, service: str, now: float) -> None:
         waits = self._tolerable_waits.get(service, {})
