--- a/kingcupvane/request/load_shedding.py
+++ b/kingcupvane/request/load_shedding.py
@@ -35,22 +35,25 @@
 # seconds.
 REPORT_EXPIRY_S = 2.0
 # Age up to which a silent peer still counts as one that serves callers, in
-# seconds: it may be alive behind a cut link. Routes without requests for that
-# long no longer bound the waits of lower priorities.
+# seconds: it may be alive behind a cut link.
 SILENT_PEER_EXPIRY_S = 10.0
-# Refused part of the wanted slots at which an overload begins, and at which it
-# ends.
+# Time without requests after which a route no longer bounds the waits of lower
+# priorities, in seconds.
+ROUTE_EXPIRY_S = 10.0
+# Refused part of the wanted slots at which an overload begins; it ends when the
+# part has been below the lower bound for some time, in seconds.
 OVERLOAD_BEGIN = 0.05
 OVERLOAD_END = 0.02
+OVERLOAD_HOLD_S = 2.0
 # Refused slots below which no overload begins: a few requests for a single
 # busy target.
 OVERLOAD_SLOTS_MIN = 1.0
 # Least part of the served slots for callers who come back too late for their
 # objective.
 LATE_ROOM_MIN = 0.1
-# Part of the allowed wait that requests within the share of their priority
-# have, and those beyond it: with no queue at all, targets would idle until word
-# of their free slots arrives.
+# Part of the wait that higher priorities can bear for which requests within the
+# share of a lower one may wait, and those beyond it: with no queue at all,
+# targets would idle until word of their free slots arrives.
 SHARE_WAIT = 0.9
 BEYOND_SHARE_WAIT = 0.4
 # Weight of the fleet's mean share in a gateway's own: holds them together.
@@ -91,6 +94,8 @@
         own_part: This gateway's part of what all gateways serve.
         shares: Share of each priority that may wait for a slot.
         report_age_s: Age of the oldest report that was used, in seconds.
+        short_of_slots_at: Monotonic time at which slots were last missing, in
+            seconds.
         updated_at: Monotonic time of the last update, in seconds.
     """
 
@@ -102,6 +107,7 @@
     own_part: float = 1.0
     shares: dict[int, float] = field(default_factory=dict)
     report_age_s: float = 0.0
+    short_of_slots_at: float = float("-inf")
     updated_at: float = float("-inf")
 
     @property
@@ -142,12 +148,7 @@
         refused = sum(load.refused for load in loads)
         self.returning = sum(load.returning for load in loads)
         self.served = max(0.0, self.wanted - refused)
-        missing = refused - self.idle_slots
-        if was_overloaded:
-            self.is_overloaded = missing > OVERLOAD_END * self.wanted
-        else:
-            begin = max(OVERLOAD_SLOTS_MIN, OVERLOAD_BEGIN * self.wanted)
-            self.is_overloaded = missing > begin
+        self._update_overload(refused - self.idle_slots, now)
         fleet_shares = {
             load.priority: load.allowed / load.wanted
             for load in loads
@@ -166,6 +167,14 @@
         )
         return self.is_overloaded != was_overloaded
 
+    def _update_overload(self, missing: float, now: float) -> None:
+        if missing > max(OVERLOAD_SLOTS_MIN, OVERLOAD_BEGIN * self.wanted):
+            self.is_overloaded = True
+        if missing > OVERLOAD_END * self.wanted:
+            self.short_of_slots_at = now
+        elif now - self.short_of_slots_at > OVERLOAD_HOLD_S:
+            self.is_overloaded = False
+
 
 class LoadShedder:
     """One gateway's shares by service and priority; does no I/O."""
@@ -267,6 +276,7 @@
         }
 
     def _update(self, service: str, state: ServiceState, now: float) -> None:
+        self._remove_old_waits(service, now)
         own = {
             service: self._counter.loads(service, self._shares(service), now)
         }
@@ -329,21 +339,22 @@
         draw = stable_hash(f"share/{request_id}") / HASH_RANGE
         is_within_share = draw < state.shares.get(priority, 1.0)
         part = SHARE_WAIT if is_within_share else BEYOND_SHARE_WAIT
-        return part * min(
-            limit_s, self._tolerable_wait_s(service, priority, now)
-        )
+        return min(limit_s, part * self._tolerable_wait_s(service, priority))
 
-    def _tolerable_wait_s(
-        self, service: str, priority: int, now: float
-    ) -> float:
+    def _remove_old_waits(self, service: str, now: float) -> None:
+        waits = self._tolerable_waits.get(service, {})
+        for key, wait in list(waits.items()):
+            if now - wait.counted_at > ROUTE_EXPIRY_S:
+                del waits[key]
+
+    def _tolerable_wait_s(self, service: str, priority: int) -> float:
         """Returns the wait that all higher priorities can bear, in seconds."""
         waits_s = (
             wait.wait_s
             for wait in self._tolerable_waits.get(service, {}).values()
             if wait.priority < priority
-            and now - wait.counted_at < SILENT_PEER_EXPIRY_S
         )
-        return max(0.0, min(waits_s, default=math.inf))
+        return min(waits_s, default=math.inf)
 
 
 def _wanted(loads_by_service: ServiceLoads, service: str) -> float:
