Memory: tiny chunks leave other requests their turn

Cause: a turn of a body in tiny chunks took four parts of 256 chunks, a round with 32 of them half a second; a connection to a target then timed out. Seen once in two runs of test_entry_outlives_a_crowd_and_serves_others[in-tiny-chunks] on loaded cores: the ordinary request got 502.

A turn takes 32 chunks; small bodies in one piece take no turn more.

--- a/kingcupvane/connection/inbound.py
+++ b/kingcupvane/connection/inbound.py
@@ -48,7 +48,7 @@
 # Chunks of a body that are joined if they are smaller than this, and how many
 # before other tasks get their turn.
 TINY_CHUNK_BYTES = 1024
-JOINED_CHUNKS_MAX = 256
+JOINED_CHUNKS_MAX = 32
 # Arrival times noted for unparsed bytes; later bytes share the last one.
 ARRIVAL_TIMES_MAX = 256
 # Longest time in which a caller takes a response, in seconds, in addition to
@@ -459,11 +459,11 @@
             return {"type": "http.request", "body": b"", "more_body": False}
         body, more_body = bytes(event.data), True
         if len(body) < TINY_CHUNK_BYTES:
-            body, more_body = self._join_tiny_chunks(body)
+            body, more_body = await self._join_tiny_chunks(body)
         self._unread_body_bytes -= len(body)
         return {"type": "http.request", "body": body, "more_body": more_body}
 
-    def _join_tiny_chunks(self, first: bytes) -> tuple[bytes, bool]:
+    async def _join_tiny_chunks(self, first: bytes) -> tuple[bytes, bool]:
         """Returns a part with the chunks that follow it and have arrived.
 
         Returns:
@@ -480,6 +480,9 @@
             if not isinstance(event, h11.Data):
                 break
             joined += event.data
+        else:
+            # They cost much work, and there may be more without a wait.
+            await trio.lowlevel.checkpoint()
         return bytes(joined), True
 
     async def _wait_disconnected(self) -> None:
--- a/kingcupvane/connection/request_body.py
+++ b/kingcupvane/connection/request_body.py
@@ -16,8 +16,6 @@
 # Large bodies are kept in blocks of one size: the memory of one body is then
 # used again for the next, without gaps and without moving it while it grows.
 BLOCK_BYTES = SMALL_BODY_BYTES
-# Parts after which the reader yields: those of tiny chunks cost much work.
-PARTS_PER_YIELD = 4
 # Longest time that a body of unknown length waits for room in all, in seconds.
 ROOM_WAIT_S = 1.0
 ROOM_POLL_S = 0.05
@@ -182,7 +180,6 @@
     async def _receive_all(
         self, request: asgi.HttpRequest, lease: BodyLease, limit: int
     ) -> None:
-        part_count = 0
         while not lease.is_evicted:
             message = await request.receive()
             if message["type"] == "http.disconnect":
@@ -192,9 +189,6 @@
                 await self._add(request, lease, part, limit)
             if not message.get("more_body", False):
                 return
-            part_count += 1
-            if part_count % PARTS_PER_YIELD == 0:
-                await trio.lowlevel.checkpoint()
 
     async def _add(
         self,
