--- a/kingcupvane/tests/test_starting_lookups.py
+++ b/kingcupvane/tests/test_starting_lookups.py
@@ -20,7 +20,8 @@
 
 
 async def look_up(harness):
-    path = f"{NAMES.lookup_path}?name=h.example&region=n&zone=n-a"
+    query = f"{NAMES.lookup_region}=n&{NAMES.lookup_data_centre}=n-a"
+    path = f"{NAMES.lookup_path}?name=h.example&{query}"
     return await harness.get(harness.settings.lookup_address, path)
 
 
