--- a/kingcupvane/connection/messages.py
+++ b/kingcupvane/connection/messages.py
@@ -13,7 +13,7 @@
 from kingcupvane.process.item import Item
 from kingcupvane.request.announcements import TargetInstance
 from kingcupvane.request.crashes import SuspicionNotice
-from kingcupvane.request.pace import PaceReport
+from kingcupvane.request.pace_state import PaceReport
 from kingcupvane.request.rate_limit import AccountUsage
 from kingcupvane.version.canary_analysis import Tally
 from kingcupvane.version.move import MoveState
--- a/kingcupvane/process/catalog.py
+++ b/kingcupvane/process/catalog.py
@@ -16,7 +16,8 @@
     TargetInstance,
     instance_of,
 )
-from kingcupvane.request.pace import ColdBound, TargetPacer
+from kingcupvane.request.cold_bound import ColdBound
+from kingcupvane.request.pace import TargetPacer
 from kingcupvane.request.peer_requests import PeerRequests
 from kingcupvane.request.placement import (
     BULK_BYTES,
--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -46,9 +46,10 @@
 from kingcupvane.process.store import Store
 from kingcupvane.process.supervisor import supervise
 from kingcupvane.process.timeline import HybridClock, Timeline
+from kingcupvane.request.cold_bound import ColdBound
 from kingcupvane.request.crashes import CrashRegistry
 from kingcupvane.request.gateway_request import WireNames
-from kingcupvane.request.pace import ColdBound, PacingGateway
+from kingcupvane.request.pace import PacingGateway
 from kingcupvane.request.pipeline import RequestPipeline, Shutdown
 from kingcupvane.request.placement import Locality
 from kingcupvane.request.quota import DistributedQuota
--- a/kingcupvane/process/summary.py
+++ b/kingcupvane/process/summary.py
@@ -9,7 +9,7 @@
     MemberStatus,
     Stamp,
 )
-from kingcupvane.request.pace import merge_reports
+from kingcupvane.request.pace_state import merge_reports
 from kingcupvane.request.rate_limit import AccountUsage
 
 
--- a/kingcupvane/request/pace.py
+++ b/kingcupvane/request/pace.py
@@ -16,31 +16,36 @@
 target in `placement`.
 """
 
-import enum
 import math
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping, Sequence
-from dataclasses import dataclass, field
-
-import msgspec
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
 
+from kingcupvane.request.cold_bound import (
+    SENDERS_PER_COLD_TARGET,
+    ColdBound,
+)
 from kingcupvane.request.load_balancing import rendezvous_rank
+from kingcupvane.request.pace_state import (
+    PaceEvent,
+    PaceReport,
+    PaceState,
+    next_state,
+)
 from kingcupvane.request.placement import (
     AttemptOutcome,
     ReportedLoad,
     TargetView,
 )
+from kingcupvane.request.target_pace import (
+    LEVEL_MAX,
+    LEVEL_MIN,
+    STEP_S,
+    TargetPace,
+)
 from kingcupvane.request.token_bucket import TokenBucket
 from kingcupvane.version.plan import RegisteredTarget
 
-# Gateways that may send requests to one cold target. Each of them may send one
-# request at any moment, whatever its rate, so that few can share a higher rate.
-SENDERS_PER_COLD_TARGET = 3
-# Fraction of the tolerated rate that they use together before any answer.
-COLD_RATE_SHARE = 0.6
-# Fraction of the bound that is used, as requests may be delayed on their way
-# and then arrive closer together than they were sent.
-COLD_BOUND_SHARE = 0.95
 # Time for which the bound is kept after the cold phase, in seconds.
 COLD_MARGIN_S = 0.3
 # Time for which a gateway that has just started sends nothing to cold targets,
@@ -56,20 +61,13 @@
 IDLE_SHARE = 0.5
 # Level at which the limit of a target that is no longer cold ends.
 OPEN_LEVEL = 3
-# Shortest time between two changes of a limit, in seconds: a report between
-# gateways takes about as long.
-STEP_S = 0.25
-# The same without answers, in seconds, while the target is not cold.
+# Time between two changes of a limit without answers, in seconds, while the
+# target is not cold.
 BLIND_STEP_S = 0.5
 # Time without bad answers after which a limit that fell may rise, in seconds.
 QUIET_S = 0.5
 # Longest ramp of a target that is no longer cold, in seconds.
 RAMP_MAX_S = 4.0
-# Bounds of the level of a limit; one level halves or doubles it. A cold target
-# gets no less than the rate before any answer: its plan calls that bearable.
-LEVEL_MIN = -2
-LEVEL_MIN_COLD = 0
-LEVEL_MAX = 16
 # Factor on the expected time of an exchange up to which it isn't late even if
 # it misses the objective: the service may not be able to meet that.
 LATE_FACTOR = 1.5
@@ -80,153 +78,6 @@
 SERVICE_KNOWN_S = 3.0
 
 
-class PaceState(enum.StrEnum):
-    """What is known of the pace of a target's process.
-
-    Attributes:
-        UNKNOWN: Not classified yet.
-        RAMPING: Its limit rises.
-        BACKING_OFF: Its limit fell or it was ejected; it rises no further
-            until a good answer.
-        SETTLED: It has no limit.
-    """
-
-    UNKNOWN = "unknown"
-    RAMPING = "ramping"
-    BACKING_OFF = "backing_off"
-    SETTLED = "settled"
-
-
-class PaceEvent(enum.StrEnum):
-    """What happens to a target's pace.
-
-    Attributes:
-        SEEN_OLD: It registers here, but has been up for long.
-        SEEN_NEW: It registers soon after its start.
-        TURNED_COLD: It is cold.
-        GOOD: It answered well, here or at another gateway.
-        BAD: It shed, answered late under load or failed, here or elsewhere.
-        EJECTED: This gateway has stopped using it after failures.
-        QUIET: No bad answer for some time.
-        OPEN: Its limit no longer binds any gateway.
-        EXPIRED: Its ramp has lasted too long; if it still answers badly, that
-            is no matter of its start.
-    """
-
-    SEEN_OLD = "seen_old"
-    SEEN_NEW = "seen_new"
-    TURNED_COLD = "turned_cold"
-    GOOD = "good"
-    BAD = "bad"
-    EJECTED = "ejected"
-    QUIET = "quiet"
-    OPEN = "open"
-    EXPIRED = "expired"
-
-
-# The next state by state and event; events that are left out change nothing.
-NEXT_STATES: Mapping[PaceState, Mapping[PaceEvent, PaceState]] = {
-    PaceState.UNKNOWN: {
-        PaceEvent.SEEN_OLD: PaceState.SETTLED,
-        PaceEvent.SEEN_NEW: PaceState.RAMPING,
-        PaceEvent.TURNED_COLD: PaceState.RAMPING,
-        PaceEvent.EJECTED: PaceState.BACKING_OFF,
-    },
-    PaceState.RAMPING: {
-        PaceEvent.BAD: PaceState.BACKING_OFF,
-        PaceEvent.EJECTED: PaceState.BACKING_OFF,
-        PaceEvent.OPEN: PaceState.SETTLED,
-        PaceEvent.EXPIRED: PaceState.SETTLED,
-    },
-    PaceState.BACKING_OFF: {
-        PaceEvent.GOOD: PaceState.RAMPING,
-        PaceEvent.QUIET: PaceState.RAMPING,
-        PaceEvent.EXPIRED: PaceState.SETTLED,
-    },
-    PaceState.SETTLED: {
-        PaceEvent.TURNED_COLD: PaceState.RAMPING,
-        PaceEvent.EJECTED: PaceState.BACKING_OFF,
-    },
-}
-
-
-def next_state(state: PaceState, event: PaceEvent) -> PaceState:
-    """Returns the state of a target's pace after an event."""
-    return NEXT_STATES[state].get(event, state)
-
-
-class PaceReport(msgspec.Struct, frozen=True, array_like=True):
-    """What a gateway knows of the pace of an unsettled target.
-
-    Of two reports on the same phase of a process, the one with more falls
-    holds, then the one with the higher level. So gateways agree in whatever
-    order they hear of each other.
-
-    Attributes:
-        target: Name of the target.
-        started_ms: Start time of its process, in Unix milliseconds.
-        is_cold: Whether it is in its cold phase.
-        falls: How often its limit fell in this phase.
-        level: Its limit, as a power of two of the one at the phase's start.
-    """
-
-    target: str
-    started_ms: int
-    is_cold: bool
-    falls: int
-    level: int
-
-
-def merge_reports(
-    reports: Iterable[Iterable[PaceReport]],
-) -> list[PaceReport]:
-    """Returns the report that holds for each phase of each process."""
-    best: dict[tuple[str, int, bool], PaceReport] = {}
-    for report in (one for several in reports for one in several):
-        key = (report.target, report.started_ms, report.is_cold)
-        known = best.get(key)
-        if known is None or _rank_of(report) > _rank_of(known):
-            best[key] = report
-    return list(best.values())
-
-
-def _rank_of(report: PaceReport) -> tuple[int, int]:
-    return (report.falls, report.level)
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ColdBound:
-    """Requests that a cold target may get in any second, from all gateways.
-
-    Attributes:
-        excess: Factor on the rate that it tolerates.
-        extra: Requests beyond that.
-    """
-
-    excess: float = 1.5
-    extra: float = 5.0
-
-    def first_share(self, rate: float) -> float:
-        """Returns a sender's rate before any answer, in requests a second."""
-        return COLD_RATE_SHARE * rate / SENDERS_PER_COLD_TARGET
-
-    def largest_share(self, rate: float) -> float:
-        """Returns the highest rate of a sender, in requests a second.
-
-        In one second a sender sends one request more than its rate. The bound
-        holds while the senders use this rate, and as many that they don't hear
-        of use the rate before any answer.
-
-        Args:
-            rate: Requests a second that the target tolerates while cold.
-        """
-        bound = COLD_BOUND_SHARE * (self.excess * rate + self.extra)
-        first = self.first_share(rate)
-        unheard = SENDERS_PER_COLD_TARGET * (first + 1.0)
-        largest = (bound - unheard) / SENDERS_PER_COLD_TARGET - 1.0
-        return max(first, largest)
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PacingGateway:
     """An advertised gateway.
@@ -242,76 +93,6 @@
     is_heard: bool
 
 
-@dataclass(kw_only=True, slots=True)
-class _TargetPace:
-    """Pace of one process of a target that is not settled.
-
-    Attributes:
-        target: Its registration.
-        state: State of its pace.
-        is_cold: Whether it was cold at the last look.
-        cold_until: Monotonic end of its cold phase, in seconds.
-        is_own: Whether only this gateway limits it, after an ejection.
-        is_probed: Whether it gets single requests until a good answer.
-        falls: How often the limit fell in this phase.
-        level: The limit, as a power of two of the one at the phase's start.
-        extra: Requests beyond this gateway's part, earned by own good answers.
-        has_good: Whether a good answer came since the last change of the limit.
-        began_at: Monotonic start of the phase, in seconds.
-        stepped_at: Monotonic time of the last change of the limit.
-        bad_at: Monotonic time of the last bad answer.
-        ranking: Names of the advertised gateways, first senders first.
-        senders_since: Monotonic time from which the senders are the same.
-        bucket: Limits this gateway's rate while the target is cold.
-        sent_at: Monotonic time of its last request while the target is cold.
-    """
-
-    target: RegisteredTarget
-    state: PaceState = PaceState.UNKNOWN
-    is_cold: bool = False
-    cold_until: float = -math.inf
-    is_own: bool = False
-    is_probed: bool = False
-    falls: int = 0
-    level: int = 0
-    extra: int = 0
-    has_good: bool = False
-    began_at: float = -math.inf
-    stepped_at: float = -math.inf
-    bad_at: float = -math.inf
-    ranking: list[str] = field(default_factory=list)
-    senders_since: float = -math.inf
-    bucket: TokenBucket | None = None
-    sent_at: float = -math.inf
-
-    def begin_phase(self, now: float, *, level: int = 0) -> None:
-        """Starts a phase with its first limit."""
-        self.falls = 0
-        self.level = level
-        self.extra = 0
-        self.has_good = False
-        self.began_at = now
-        self.stepped_at = now
-
-    def rise(self, now: float) -> None:
-        """Doubles the limit."""
-        self.level = min(LEVEL_MAX, self.level + 1)
-        self.has_good = False
-        self.stepped_at = now
-
-    def fall(self, now: float) -> None:
-        """Halves the limit, but not again before the effect can be seen."""
-        self.bad_at = now
-        self.extra = 0
-        self.has_good = False
-        if now - self.stepped_at < STEP_S and self.falls:
-            return
-        self.falls += 1
-        floor = LEVEL_MIN_COLD if self.is_cold else LEVEL_MIN
-        self.level = max(floor, self.level - 1)
-        self.stepped_at = now
-
-
 class TargetPacer:
     """Limits the requests of one gateway to targets that are not settled.
 
@@ -342,7 +123,7 @@
         self._draw = draw
         self._cold_rate = cold_rate
         self._log_event = log_event
-        self._paces_by_target: dict[str, _TargetPace] = {}
+        self._paces_by_target: dict[str, TargetPace] = {}
         self._service_seen_at: dict[str, float] = {}
         self._fleet: tuple[PacingGateway, ...] = ()
         self._fleet_changed_at = -math.inf
@@ -577,16 +358,16 @@
         target: RegisteredTarget,
         *,
         state: PaceState = PaceState.SETTLED,
-    ) -> _TargetPace:
+    ) -> TargetPace:
         pace = self._paces_by_target.get(target.name)
         if pace is None:
-            pace = _TargetPace(target=target, state=state)
+            pace = TargetPace(target=target, state=state)
             self._paces_by_target[target.name] = pace
             self._rank(pace, changed_at=self._fleet_changed_at)
         pace.target = target
         return pace
 
-    def _rank(self, pace: _TargetPace, *, changed_at: float) -> None:
+    def _rank(self, pace: TargetPace, *, changed_at: float) -> None:
         """Ranks the gateways: those of the target's region send to it most.
 
         Args:
@@ -620,7 +401,7 @@
         pace.bad_at = now
         self._apply(pace, PaceEvent.EJECTED)
 
-    def _hear_good(self, pace: _TargetPace, now: float) -> None:
+    def _hear_good(self, pace: TargetPace, now: float) -> None:
         if pace.is_probed:
             pace.is_probed = False
             pace.stepped_at = now
@@ -629,11 +410,11 @@
         self._apply(pace, PaceEvent.GOOD)
         self._advance(pace, now)
 
-    def _hear_bad(self, pace: _TargetPace, now: float) -> None:
+    def _hear_bad(self, pace: TargetPace, now: float) -> None:
         pace.fall(now)
         self._apply(pace, PaceEvent.BAD)
 
-    def _advance(self, pace: _TargetPace, now: float) -> None:
+    def _advance(self, pace: TargetPace, now: float) -> None:
         if pace.is_cold and now >= pace.cold_until:
             was_rate_limited = self._is_rate_limited(pace)
             pace.is_cold = False
@@ -653,7 +434,7 @@
         if pace.state is PaceState.RAMPING:
             self._step(pace, now)
 
-    def _step(self, pace: _TargetPace, now: float) -> None:
+    def _step(self, pace: TargetPace, now: float) -> None:
         since_s = now - pace.stepped_at
         if pace.has_good and since_s >= STEP_S:
             if not self._is_at_cold_maximum(pace):
@@ -663,11 +444,11 @@
         if not pace.is_cold and self._is_open(pace):
             self._apply(pace, PaceEvent.OPEN)
 
-    def _is_rate_limited(self, pace: _TargetPace) -> bool:
+    def _is_rate_limited(self, pace: TargetPace) -> bool:
         """Returns whether it is cold and its plan names a rate."""
         return pace.is_cold and self._cold_rate(pace.target.service) > 0.0
 
-    def _is_at_cold_maximum(self, pace: _TargetPace) -> bool:
+    def _is_at_cold_maximum(self, pace: TargetPace) -> bool:
         """Returns whether a higher level would allow no higher rate."""
         if not self._is_rate_limited(pace):
             return False
@@ -675,23 +456,23 @@
         share = self._bound.first_share(rate) * 2.0**pace.level
         return share >= self._largest_share(pace, rate)
 
-    def _largest_share(self, pace: _TargetPace, rate: float) -> float:
+    def _largest_share(self, pace: TargetPace, rate: float) -> float:
         """Returns a sender's highest rate; more if there are few senders."""
         count = len(pace.ranking[:SENDERS_PER_COLD_TARGET])
         factor = SENDERS_PER_COLD_TARGET / max(1, count)
         return factor * self._bound.largest_share(rate)
 
-    def _is_open(self, pace: _TargetPace) -> bool:
+    def _is_open(self, pace: TargetPace) -> bool:
         """Returns whether any gateway may use all slots at once."""
         if pace.is_own:
             return 2**pace.level >= pace.target.slots
         return pace.level >= OPEN_LEVEL
 
-    def _allowance(self, pace: _TargetPace) -> int:
+    def _allowance(self, pace: TargetPace) -> int:
         """Returns the requests in flight there allowed to all gateways."""
         return max(1, int(pace.target.slots * 2.0**pace.level))
 
-    def _concurrency_max(self, pace: _TargetPace) -> int:
+    def _concurrency_max(self, pace: TargetPace) -> int:
         """Returns this gateway's part of the allowance."""
         if pace.is_own:
             return max(1, int(2.0**pace.level)) + pace.extra
@@ -704,7 +485,7 @@
         return part + is_among_rest + pace.extra
 
     def _may_send_cold(
-        self, pace: _TargetPace, now: float, *, is_needed: bool
+        self, pace: TargetPace, now: float, *, is_needed: bool
     ) -> bool:
         if now < self._sends_cold_from:
             return False
@@ -718,14 +499,14 @@
             return False
         return self._bucket(pace, now).wait_s(now) <= 0.0
 
-    def _bucket(self, pace: _TargetPace, now: float) -> TokenBucket:
+    def _bucket(self, pace: TargetPace, now: float) -> TokenBucket:
         if pace.bucket is None:
             pace.bucket = TokenBucket(now=now)
         rate = self._cold_share(pace, now)
         pace.bucket.resize(rate=rate, burst=1.0, now=now)
         return pace.bucket
 
-    def _cold_share(self, pace: _TargetPace, now: float) -> float:
+    def _cold_share(self, pace: TargetPace, now: float) -> float:
         """Returns this gateway's rate at a cold target, in requests a second.
 
         Above the rate before any answer only while it is sure who sends.
@@ -737,7 +518,7 @@
         largest = self._largest_share(pace, rate)
         return min(largest, first * 2.0**pace.level)
 
-    def _apply(self, pace: _TargetPace, event: PaceEvent) -> None:
+    def _apply(self, pace: TargetPace, event: PaceEvent) -> None:
         state = next_state(pace.state, event)
         if state is PaceState.SETTLED:
             self._paces_by_target.pop(pace.target.name, None)
--- a/kingcupvane/tests/pace_fleet.py
+++ b/kingcupvane/tests/pace_fleet.py
@@ -10,7 +10,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from kingcupvane.request.pace import ColdBound, PacingGateway, TargetPacer
+from kingcupvane.request.cold_bound import ColdBound
+from kingcupvane.request.pace import PacingGateway, TargetPacer
 from kingcupvane.request.placement import (
     AttemptOutcome,
     ReportedLoad,
--- a/kingcupvane/tests/test_pace.py
+++ b/kingcupvane/tests/test_pace.py
@@ -7,15 +7,13 @@
 from hypothesis import strategies as st
 
 from kingcupvane.process.peering import PeerTable, advertised_records
-from kingcupvane.request.pace import (
+from kingcupvane.request.cold_bound import SENDERS_PER_COLD_TARGET, ColdBound
+from kingcupvane.request.pace import PacingGateway, TargetPacer
+from kingcupvane.request.pace_state import (
     NEXT_STATES,
-    SENDERS_PER_COLD_TARGET,
-    ColdBound,
     PaceEvent,
     PaceReport,
     PaceState,
-    PacingGateway,
-    TargetPacer,
     merge_reports,
     next_state,
 )
--- a/kingcupvane/tests/test_summary.py
+++ b/kingcupvane/tests/test_summary.py
@@ -6,7 +6,7 @@
 
 from kingcupvane.connection.messages import Stamp
 from kingcupvane.process.summary import UsageTotals, summarize
-from kingcupvane.request.pace import PaceReport
+from kingcupvane.request.pace_state import PaceReport
 from kingcupvane.request.rate_limit import AccountUsage
 from kingcupvane.tests.test_peering import record, report
 
