--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -52,9 +52,10 @@
 from kingcupvane.process.timeline import HybridClock, Timeline
 from kingcupvane.process.usage_receiver import UsageReceiver
 from kingcupvane.process.usage_reporting import UsageReporting
+from kingcupvane.request.cold_bound import ColdBound
 from kingcupvane.request.crashes import CrashRegistry
 from kingcupvane.request.gateway_request import WireNames
-from kingcupvane.request.pace import ColdBound, PacingGateway
+from kingcupvane.request.pace import PacingGateway
 from kingcupvane.request.pipeline import RequestPipeline, Shutdown
 from kingcupvane.request.placement import Locality
 from kingcupvane.request.quota import DistributedQuota
