--- a/kingcupvane/request/resolution.py
+++ b/kingcupvane/request/resolution.py
@@ -105,7 +105,7 @@
             ),
             affinity_key=f"{route.name}/{cookie}" if cookie else "",
             is_caller_retry=self._caller_retry_detector.is_caller_retry(
-                route.name, caller_timeout_s
+                route.name, timeout_s
             ),
         )
 
