--- a/kingcupvane/tests/usage_fleet.py
+++ b/kingcupvane/tests/usage_fleet.py
@@ -272,9 +272,14 @@
             self.scope.cancel()
 
     async def freeze(self, duration_s):
+        """Freezes the gateway; a freeze within another one adds nothing."""
+        if self.is_frozen:
+            return
         self.thawed = trio.Event()
-        await trio.sleep(duration_s)
-        self.thawed.set()
+        try:
+            await trio.sleep(duration_s)
+        finally:
+            self.thawed.set()
 
     async def _freeze_if_asked(self, operation):
         duration_s = self.freeze_s_by_operation.pop(operation, 0.0)
