--- a/kingcupvane/connection/inbound.py
+++ b/kingcupvane/connection/inbound.py
@@ -368,7 +368,7 @@
                 event = await self._next_event()
             finally:
                 state.head_scopes.pop(scope, None)
-                self._charge_ahead(0)
+                self._charge_ahead(len(self._parser.trailing_data[0]))
             if isinstance(event, h11.Request):
                 return event
         return None
@@ -517,18 +517,22 @@
                 ahead_bytes >= READ_AHEAD_MAX_BYTES
                 or self._state.memory.is_full()
             )
-            if is_full and unread_since is None:
+            # Nothing behind dropped bytes may be parsed.
+            drops = is_full or self._drops_input
+            if not drops:
+                unread_since = None
+            elif unread_since is None:
                 unread_since = trio.current_time()
-            if is_full and not self._may_drop(unread_since):
+            if drops and not self._may_drop(unread_since):
                 self._limit_unread()
                 await trio.sleep(DISCONNECT_POLL_S)
                 continue
             # Before the read, since the response may be sent meanwhile.
-            self._drops_input = is_full
+            self._drops_input = drops
             data = await self._stream.receive_some(READ_AHEAD_MAX_BYTES)
             if not data:
                 return
-            if is_full:
+            if drops:
                 self._dropped_bytes += len(data)
             else:
                 self._feed(bytes(data))
--- a/kingcupvane/process/usage_exchange.py
+++ b/kingcupvane/process/usage_exchange.py
@@ -11,6 +11,7 @@
 
 from kingcupvane.clock import Clock
 from kingcupvane.connection.messages import GatewayReport, UsageReport
+from kingcupvane.process.item import ABSENT_REVISION
 from kingcupvane.process.mirror import Mirror
 from kingcupvane.process.peering import PeerTable
 from kingcupvane.process.true_time import TrueTime
@@ -87,6 +88,7 @@
         self._clock = clock
         self._receivers: _Receivers | None = None
         self._told_at_by_address: dict[str, float] = {}
+        self._record_revision = ABSENT_REVISION
 
     def holder(self) -> HolderRecord | None:
         """Returns the holder that the mirror names; None for none."""
@@ -122,7 +124,8 @@
         """Updates the time, and drops the counts of recorded windows."""
         self._true_time.update()
         item = self._mirror.get(RECORD_KEY)
-        if item is not None:
+        if item is not None and item.revision != self._record_revision:
+            self._record_revision = item.revision
             record = decode_record(item.value).unwrap_or(DutyRecord())
             self._ledger.close_before(record.next_window)
         now = self._clock.now()
--- a/kingcupvane/request/pace.py
+++ b/kingcupvane/request/pace.py
@@ -193,9 +193,13 @@
         pace = self._paces_by_target.get(target)
         return pace is not None and now < pace.cold_until
 
-    def has_rate_limited(self) -> bool:
-        """Returns whether the rate of any target is limited."""
-        return any(map(self._is_rate_limited, self._paces_by_target.values()))
+    def has_rate_limited(self, service: str) -> bool:
+        """Returns whether the rate of any target of a service is limited."""
+        return any(
+            self._is_rate_limited(pace)
+            for pace in self._paces_by_target.values()
+            if pace.target.service == service
+        )
 
     def may_use(
         self, view: TargetView, now: float, *, is_needed: bool = True
--- a/kingcupvane/request/pipeline.py
+++ b/kingcupvane/request/pipeline.py
@@ -590,7 +590,8 @@
             refusal_fields["retry_after_s"] = round(refusal.retry_after_s, 3)
             refusal_fields["why"] = refusal.detail
             refusal_fields["priority"] = gateway_request.priority
-            refusal_fields["cause"] = gateway_request.refusal_cause
+            if refusal.step is Step.QUEUE:
+                refusal_fields["cause"] = gateway_request.refusal_cause
             if gateway_request.wait_decision is not None:
                 refusal_fields |= gateway_request.wait_decision.log_fields()
         missed_objective = elapsed_s > route.latency_objective_s
--- a/kingcupvane/request/placement.py
+++ b/kingcupvane/request/placement.py
@@ -50,10 +50,6 @@
 # that is cold for its key only because the others have too long a queue: the
 # extra work would lengthen all queues.
 DIVERSION_UTILIZATION_MAX = 0.6
-# Utilization of a service's targets from which a request isn't sent to a target
-# that is cold for its key only because the others have too long a queue: the
-# extra work would lengthen all queues.
-DIVERSION_UTILIZATION_MAX = 0.6
 # Cost per rank, in seconds, for a key that is warm at no candidate: all
 # gateways should then warm the same target, unless it has a queue.
 RANK_COST_S = 0.08
@@ -595,8 +591,9 @@
     """Returns the best candidate, or None if no target is usable.
 
     That is the cheapest one of the first ranks. If the request may not wait as
-    long as it would have to there, and the targets are not busy as a whole, it
-    is the cheapest one with an allowed wait, or the first with a free slot.
+    long as it would have to there, it is one that is warm for the key and has
+    an allowed wait. Failing that, unless the targets are busy as a whole, it is
+    the cheapest one with an allowed wait, or the first with a free slot.
 
     Args:
         ranking: Targets, best rank first.
@@ -622,11 +619,18 @@
     best = candidates[0]
     if wait_limit_s is None or best.wait_s <= wait_limit_s(best):
         return best
+    allowed = [
+        candidate
+        for candidate in candidates[1:]
+        if candidate.wait_s <= wait_limit_s(candidate)
+    ]
+    for candidate in allowed:
+        if candidate.is_known_warm:
+            return candidate
     if _utilization(ranking, now) >= DIVERSION_UTILIZATION_MAX:
         return best
-    for candidate in candidates[1:]:
-        if candidate.wait_s <= wait_limit_s(candidate):
-            return candidate
+    if allowed:
+        return allowed[0]
     for view in _with_free_slot(ranking, usable, now):
         return estimate_candidate(
             view,
--- a/kingcupvane/request/priority_load.py
+++ b/kingcupvane/request/priority_load.py
@@ -92,12 +92,12 @@
     def to_report(self, priority: int, share: float) -> PriorityLoad:
         return PriorityLoad(
             priority,
-            round(self.wanted, 2),
-            round(min(self.refused, self.wanted), 2),
-            round(share * self.wanted, 2),
-            round(self.returning, 2),
-            round(self.rate, 2),
-            round(min(self.refused_rate, self.rate), 2),
+            round(self.wanted, 4),
+            round(min(self.refused, self.wanted), 4),
+            round(share * self.wanted, 4),
+            round(self.returning, 4),
+            round(self.rate, 4),
+            round(min(self.refused_rate, self.rate), 4),
         )
 
 
--- a/kingcupvane/request/returning_callers.py
+++ b/kingcupvane/request/returning_callers.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field
 
 from kingcupvane.hashing import stable_hash
+from kingcupvane.request.wait_limit import RETRY_AFTER_MAX_S
 
 # Part of the time left to its deadline for which a caller is asked to wait at
 # most; callers honour up to a third, and the response takes time to arrive.
@@ -55,9 +56,6 @@
             default=-math.inf,
         )
 
-    def start(self, priority: int, at: float) -> None:
-        self.free_at_by_priority[priority] = at
-
     def take(self, priority: int, at: float, interval_s: float) -> None:
         for other in self.free_at_by_priority:
             if other > priority:
@@ -100,7 +98,9 @@
             time_left_s: Time left to the caller's deadline, in seconds.
             now: Monotonic seconds.
         """
-        longest_s = RETURN_DELAY_SHARE * max(0.0, time_left_s)
+        longest_s = min(
+            RETRY_AFTER_MAX_S, RETURN_DELAY_SHARE * max(0.0, time_left_s)
+        )
         shortest_s = min(shortest_s, longest_s)
         spread = stable_hash(f"return/{request_id}") / HASH_RANGE
         for timetables, slots, until_s in (
@@ -118,7 +118,6 @@
             if at < earliest:
                 # Gateways whose first promises coincide must not start in step.
                 at = earliest + spread * interval_s
-                timetable.start(priority, at)
             if at <= now + until_s:
                 timetable.take(priority, at, interval_s)
                 return at - now
--- a/kingcupvane/request/selection.py
+++ b/kingcupvane/request/selection.py
@@ -94,7 +94,7 @@
         A target that is cold as a whole gets more requests only if this one
         would wait or be refused elsewhere.
         """
-        has_cold = self._catalog.pace.has_rate_limited()
+        has_cold = self._catalog.pace.has_rate_limited(gateway_request.service)
         candidate = self._choose(gateway_request, now, is_needed=not has_cold)
         if has_cold and (candidate is None or candidate.wait_s > 0.0):
             candidate = self._choose(gateway_request, now, is_needed=True)
--- a/kingcupvane/request/slowdown.py
+++ b/kingcupvane/request/slowdown.py
@@ -15,8 +15,8 @@
 # Age of a report up to which the next one of the same target shows whether it
 # still held, in seconds.
 COMPARABLE_AGE_MAX_S = 0.6
-# Squared deviation of reports that counts as observed before the first one.
-INITIAL_DEVIATION = 0.05
+# Variance of the reports that is assumed before the first one.
+INITIAL_VARIANCE = 0.05
 
 
 class ServiceSlowdown:
@@ -29,13 +29,13 @@
     def __init__(self):
         """Starts with targets at their usual speed and reports unproved."""
         self.mean = 1.0
-        self._agreement = 0.0
-        self._deviation = INITIAL_DEVIATION
+        self._covariance = 0.0
+        self._variance = INITIAL_VARIANCE
 
     @property
     def persistence(self) -> float:
         """Share of a reported deviation that the next report shows, 0 to 1."""
-        return min(1.0, max(0.0, self._agreement / self._deviation))
+        return min(1.0, max(0.0, self._covariance / self._variance))
 
     def add(self, slowdown: float, previous: float | None) -> None:
         """Adds a report.
@@ -50,8 +50,8 @@
             return
         before = previous - self.mean
         product = before * (slowdown - self.mean)
-        self._agreement += weight * (product - self._agreement)
-        self._deviation += weight * (before * before - self._deviation)
+        self._covariance += weight * (product - self._covariance)
+        self._variance += weight * (before * before - self._variance)
 
 
 class TargetSlowdown:
--- a/kingcupvane/request/spillover.py
+++ b/kingcupvane/request/spillover.py
@@ -21,12 +21,13 @@
 LOCAL_UTILIZATION_MAX = 0.5
 # Utilization up to which a region takes the spillover of others.
 SPILLOVER_UTILIZATION_MAX = 0.7
-# Largest and least change of the local share in one step; smaller changes are
-# skipped unless all requests are to be served locally again.
+# Largest and least decrease of the local share in one step; smaller ones are
+# skipped.
 STEP_MAX = 0.04
 STEP_MIN = 0.02
 # Largest step by which a share returns to the region, and the difference from
-# the desired share up to which it stays as it is.
+# the desired share up to which it stays as it is, unless all requests are to be
+# served locally again.
 RETURN_STEP_MAX = 0.02
 RETURN_BAND = 0.1
 # Time constant with which the peak of a demand is forgotten, in seconds.
--- a/kingcupvane/tests/test_pipelined_requests.py
+++ b/kingcupvane/tests/test_pipelined_requests.py
@@ -579,6 +579,39 @@
     ServerHarness(work).run_server(check)
 
 
+def test_nothing_behind_dropped_bytes_is_parsed_once_there_is_memory_again():
+    """The rest of a request whose beginning was dropped ran as another one."""
+    state = ServerState()
+    handled = []
+
+    async def work(request, send):
+        handled.append(request.path)
+        used_bytes = state.memory.used_bytes
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                request.cancel_when_disconnected, nursery.cancel_scope
+            )
+            state.memory.used_bytes = state.memory.max_bytes
+            await trio.sleep(4 * UNREAD_MAX_S)
+            state.memory.used_bytes = used_bytes
+            await trio.sleep(2 * UNREAD_MAX_S)
+            nursery.cancel_scope.cancel()
+        await asgi.HttpResponse(body=b"end").send(send)
+
+    async def check(server):
+        with server.connect(get_request(b"/0")) as caller:
+            await trio.sleep(UNREAD_MAX_S)
+            caller.sendall(b"GET /dropped HTTP/1.1\r\nHost: h\r\nx-value: ")
+            await trio.sleep(4 * UNREAD_MAX_S)
+            caller.sendall(b"1\r\n\r\n" + get_request(b"/1"))
+            data = await server.read_to_end(caller)
+        assert data.lower().count(b"connection: close") == 1
+        assert data.endswith(b"end")
+        assert handled == ["/0"]
+
+    ServerHarness(work, state).run_server(check)
+
+
 @pytest.mark.parametrize("delay_s", [0.0, 0.003, 0.006, 0.012, 0.05])
 def test_response_sent_while_bytes_are_dropped_closes_or_nothing_is_lost(
     delay_s,
--- a/kingcupvane/tests/test_placement.py
+++ b/kingcupvane/tests/test_placement.py
@@ -368,3 +368,15 @@
             elapsed_s=service_time.cold_service_s,
         )
     assert service_time.first_rank_warm_share < 0.1
+
+
+def test_other_warm_target_with_an_allowed_wait_is_used_by_busy_targets_too():
+    ranking = ranked_views(count=4)
+    for view in ranking:
+        queue_at(view, 2)
+    ranking[0].record_start("o", 0.0)
+    queue_at(ranking[0], 4)
+    ranking[1].record_start("o", 0.0)
+    candidate = choose_with_limit(ranking, limit_s=0.2)
+    assert candidate.view is ranking[1]
+    assert candidate.wait_s <= 0.2
--- a/kingcupvane/tests/test_returning_callers.py
+++ b/kingcupvane/tests/test_returning_callers.py
@@ -10,6 +10,7 @@
     ReturnRoom,
     ReturnSchedule,
 )
+from kingcupvane.request.wait_limit import RETRY_AFTER_MAX_S
 
 SERVICE_S = 0.15
 TIME_LEFT_S = 6.0
@@ -201,3 +202,21 @@
     for number in range(20):
         delay_s(schedule, number, room_slots=3.0)
     assert delay_s(schedule, "x", room_slots=300.0, now=60.0) < 0.11
+
+
+# One refusal without room blocked its priority and all lower ones for good.
+def test_moment_without_room_leaves_later_promises_as_they_are():
+    schedule = ReturnSchedule()
+    delay_s(schedule, "a", room_slots=0.0)
+    without_room_s = delay_s(schedule, "b", room_slots=0.0, now=1.0)
+    assert without_room_s >= NO_ROOM_FROM_S
+    assert delay_s(schedule, "c", room_slots=ROOM_SLOTS, now=2.0) < 0.5
+
+
+def test_no_caller_is_promised_more_than_the_longest_retry_after():
+    schedule = ReturnSchedule()
+    delays_s = [
+        delay_s(schedule, n, room_slots=1.0, time_left_s=60.0)
+        for n in range(40)
+    ]
+    assert max(delays_s) <= RETRY_AFTER_MAX_S
