Observability: what a gateway that is behind must say

The hypotheses could not be told apart: nothing said at which revision the store answered, nor whether a mirror was behind by what it heard, by the age of its confirmation, or by an answer below its own revision; a refusal for an unknown route or key told the plan's number, but not its age.

No change of logic.

--- a/kingcupvane/process/freshness.py
+++ b/kingcupvane/process/freshness.py
@@ -5,6 +5,7 @@
 copying from peers is enough, or whether it must ask the store itself.
 """
 
+import enum
 import math
 
 from kingcupvane.process.mirror import Mirror
@@ -21,6 +22,18 @@
 FALLBACK_S = 5.0
 
 
+class Staleness(enum.StrEnum):
+    """Why a mirror counts as behind the store."""
+
+    NONE = "current"
+    # Peers know something newer that has not arrived.
+    MISSING = "missing"
+    # Nobody has said for too long that there is nothing newer.
+    UNCONFIRMED = "unconfirmed"
+    # The store answered at a revision below that of the mirror.
+    AHEAD = "ahead"
+
+
 class MirrorFreshness:
     """Knows when the mirror was last complete, and what it lacks since when.
 
@@ -28,6 +41,8 @@
         confirmed_at: Latest monotonic time at which the store is known to have
             held nothing newer than the mirror, in seconds.
         newest_revision: Highest store revision that was heard of.
+        answered_revision: Store revision of the store's last answer to this
+            gateway; 0 before the first.
     """
 
     def __init__(self, *, mirror: Mirror, now: float):
@@ -43,6 +58,18 @@
         self._fallback_until = -math.inf
         self.confirmed_at = now
         self.newest_revision = 0
+        self.answered_revision = 0
+        self._is_ahead = False
+
+    def note_answer(self, revision: int, *, asked_at_revision: int) -> None:
+        """Notes at which revision the store has answered.
+
+        Args:
+            revision: The revision that the answer names.
+            asked_at_revision: The mirror's revision when the call was made.
+        """
+        self.answered_revision = revision
+        self._is_ahead = revision < asked_at_revision
 
     def confirm(self, revision: int, now: float, *, age_s: float = 0.0) -> None:
         """Notes that the store held nothing newer than a revision.
@@ -73,9 +100,21 @@
             self._fallback_until = now + FALLBACK_S
         return now < self._fallback_until
 
-    def _is_stale(self, now: float) -> bool:
-        is_behind = (
+    def staleness(self, now: float) -> Staleness:
+        """Returns whether the mirror is behind the store, and by what sign."""
+        if self._is_ahead:
+            return Staleness.AHEAD
+        if (
             self._missing_revision > self._mirror.as_of
             and now - self._missing_since > BEHIND_MAX_S
+        ):
+            return Staleness.MISSING
+        if self.age_s(now) > AGE_MAX_S:
+            return Staleness.UNCONFIRMED
+        return Staleness.NONE
+
+    def _is_stale(self, now: float) -> bool:
+        return self.staleness(now) in (
+            Staleness.MISSING,
+            Staleness.UNCONFIRMED,
         )
-        return is_behind or self.age_s(now) > AGE_MAX_S
--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -32,6 +32,7 @@
 from kingcupvane.process.crash_verifier import CrashVerifier
 from kingcupvane.process.evidence import EvidenceCounter
 from kingcupvane.process.evidence_collection import EvidenceCollector
+from kingcupvane.process.freshness import Staleness
 from kingcupvane.process.item import Item
 from kingcupvane.process.known_fleet import KnownFleet
 from kingcupvane.process.lateness import LatenessMeter
@@ -155,7 +156,11 @@
             capacity=TIMELINE_EVENTS_MAX,
         )
         self._metrics = GatewayMetrics()
-        self._request_log = RequestLog(process=settings.name, clock=self._clock)
+        self._request_log = RequestLog(
+            process=settings.name,
+            clock=self._clock,
+            state_fields=self._mirror_fields,
+        )
         self._log_buffer = log_buffer
         self._stop = trio.Event()
         self._stop_accepting = trio.Event()
@@ -389,6 +394,14 @@
             responses=self._memory.responses,
         )
 
+    def _mirror_fields(self) -> dict[str, object]:
+        """Returns how new the state is by which a request is served."""
+        freshness = self._replicator.freshness
+        return {
+            "plan_age_s": round(freshness.age_s(self._clock.now()), 3),
+            "revision": self._mirror.as_of,
+        }
+
     async def run(self) -> None:
         """Runs until SIGTERM or SIGINT, then shuts down gracefully."""
         self._timeline.record("started", data_centre=self._settings.data_centre)
@@ -498,6 +511,7 @@
             for name in self._peers.remove_expired(now):
                 self._reporter.remove_gateway(name)
                 self._timeline.record("gateway-forgotten", name=name)
+            self._replicator.log_staleness(now)
             if not self._is_store_watched(now):
                 self._catalog.mark_store_unreachable()
             self._catalog.remove_expired_targets()
@@ -585,6 +599,14 @@
         metrics.peer_revision.set(
             {}, self._replicator.freshness.newest_revision
         )
+        metrics.answered_revision.set(
+            {}, self._replicator.freshness.answered_revision
+        )
+        staleness = self._replicator.freshness.staleness(now)
+        for state in Staleness:
+            metrics.mirror_state.set(
+                {"state": state.value}, int(state is staleness)
+            )
         for (message, error), count in self._peer_client.failures.items():
             labels = {"message": message, "error": error}
             metrics.peer_failures.set(labels, count)
--- a/kingcupvane/process/logs.py
+++ b/kingcupvane/process/logs.py
@@ -8,7 +8,7 @@
 import os
 import threading
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 
 from loguru import logger
 
@@ -169,15 +169,23 @@
 class RequestLog:
     """Logs one line for each request, which the time line does not record."""
 
-    def __init__(self, *, process: str, clock: Clock):
+    def __init__(
+        self,
+        *,
+        process: str,
+        clock: Clock,
+        state_fields: Callable[[], Mapping[str, object]] = dict,
+    ):
         """Creates a log.
 
         Args:
             process: Name of this process.
             clock: Wall clock.
+            state_fields: Returns fields that each line has beside its own.
         """
         self._process = process
         self._clock = clock
+        self._state_fields = state_fields
         self._low_priority_logger = logger.bind(**{LOW_PRIORITY_KEY: True})
 
     def log_event(
@@ -190,8 +198,9 @@
             low_priority: Whether the line is among the first to be dropped.
             **fields: Further fields of the line.
         """
+        all_fields = {**fields, **self._state_fields()}
         pairs = " ".join(
-            f"{k}={quote_value(str(v))}" for k, v in fields.items()
+            f"{k}={quote_value(str(v))}" for k, v in all_fields.items()
         )
         line = (
             f"time_ms={self._clock.wall() * 1000:.0f}"
--- a/kingcupvane/process/metrics.py
+++ b/kingcupvane/process/metrics.py
@@ -127,6 +127,14 @@
             "kingcupvane_peers_store_revision",
             "Newest store revision that this gateway has heard of.",
         )
+        self.answered_revision = self._gauge(
+            "kingcupvane_store_answered_revision",
+            "Store revision of the store's last answer to this gateway.",
+        )
+        self.mirror_state = self._gauge(
+            "kingcupvane_store_copy_state",
+            "Whether this gateway's copy of the store is current, or why not.",
+        )
         self.peer_failures = self._gauge(
             "kingcupvane_peer_failures",
             "Messages to gateways without a reply, by message and error.",
--- a/kingcupvane/process/replication.py
+++ b/kingcupvane/process/replication.py
@@ -19,7 +19,7 @@
     MirrorRequest,
     MirrorSource,
 )
-from kingcupvane.process.freshness import MirrorFreshness
+from kingcupvane.process.freshness import MirrorFreshness, Staleness
 from kingcupvane.process.item import ABSENT_REVISION, Item
 from kingcupvane.process.mirror import Mirror
 from kingcupvane.process.peering import PeerTable, store_watchers
@@ -87,6 +87,7 @@
         self.freshness = MirrorFreshness(mirror=mirror, now=clock.now())
         self.confirmed_at = clock.now()
         self._retry_delay_s = RETRY_DELAY_MIN_S
+        self._logged_staleness = Staleness.NONE
 
     async def run(self) -> None:
         """Keeps the mirror up to date until cancelled."""
@@ -157,11 +158,15 @@
         mirror = self._mirror
         if self.mirror_source is not MirrorSource.STORE:
             return await self._fetch_all()
+        asked_at = mirror.as_of
         reply = await self._store.watch(
             mirror.prefix, after=mirror.as_of, wait_s=self._settings.watch_s
         )
         match reply:
             case Ok(listing):
+                self.freshness.note_answer(
+                    listing.revision, asked_at_revision=asked_at
+                )
                 changed = mirror.merge(listing.items, as_of=listing.revision)
                 self._apply_items(changed)
                 return True
@@ -172,11 +177,13 @@
         return await self._fetch_all()
 
     async def _fetch_all(self) -> bool:
+        asked_at = self._mirror.as_of
         reply = await self._store.scan(self._mirror.prefix)
         if isinstance(reply, Err):
             self._failure_detail = reply.err_value.detail
             return False
         listing = reply.ok_value
+        self.freshness.note_answer(listing.revision, asked_at_revision=asked_at)
         changed = self._mirror.replace(listing.items, as_of=listing.revision)
         self._apply_items(changed)
         return True
@@ -186,6 +193,26 @@
             self._timeline.record("store-lost", why=self._failure_detail)
         self.mirror_source = MirrorSource.LOST
 
+    def log_staleness(self, now: float) -> None:
+        """Logs when the mirror falls behind the store, and when it is back.
+
+        Args:
+            now: Monotonic seconds.
+        """
+        staleness = self.freshness.staleness(now)
+        if staleness is self._logged_staleness or not self._mirror.is_loaded:
+            return
+        self._logged_staleness = staleness
+        self._timeline.record(
+            "mirror-state",
+            state=staleness.value,
+            source=self.mirror_source.value,
+            own=self._mirror.as_of,
+            heard=self.freshness.newest_revision,
+            answered=self.freshness.answered_revision,
+            age_s=round(self.freshness.age_s(now), 3),
+        )
+
     def changes_since(self, request: MirrorRequest) -> MirrorReply:
         """Returns the changes that a peer's mirror lacks.
 
--- a/kingcupvane/tests/test_freshness.py
+++ b/kingcupvane/tests/test_freshness.py
@@ -9,6 +9,7 @@
     BEHIND_MAX_S,
     FALLBACK_S,
     MirrorFreshness,
+    Staleness,
 )
 from kingcupvane.process.item import Item
 from kingcupvane.process.mirror import Mirror
@@ -65,3 +66,15 @@
 def test_negative_age_is_none(freshness):
     freshness.confirm(10, 1.0, age_s=-5.0)
     assert freshness.confirmed_at == 1.0
+
+
+def test_each_sign_of_a_mirror_that_is_behind_has_a_name(mirror, freshness):
+    assert freshness.staleness(0.1) is Staleness.NONE
+    freshness.confirm(11, 0.1, age_s=inf)
+    assert freshness.staleness(0.2 + BEHIND_MAX_S) is Staleness.MISSING
+    mirror.merge([], as_of=11)
+    assert freshness.staleness(AGE_MAX_S + 0.1) is Staleness.UNCONFIRMED
+    freshness.note_answer(7, asked_at_revision=11)
+    assert freshness.staleness(0.2) is Staleness.AHEAD
+    freshness.note_answer(12, asked_at_revision=11)
+    assert freshness.staleness(0.2) is Staleness.NONE
