Test: a plan after a lost plan is in force (fails)

The new plan isn't in force within 2.5 s; meanwhile the gateway calls watch and scan in a loop without a pause (store-history-gone several times a millisecond).

--- a/kingcupvane/tests/test_platform_gateway.py
+++ b/kingcupvane/tests/test_platform_gateway.py
@@ -67,6 +67,15 @@
         self.compacted_revision = self.revision
         self.history.clear()
 
+    def copy(self):
+        """Returns a copy of the contents, for `restore`."""
+        return dict(self.items), list(self.history), self.revision
+
+    def restore(self, saved):
+        """Puts the store back to a copy; what came later is gone."""
+        items, history, self.revision = saved
+        self.items, self.history = dict(items), list(history)
+
     def _error(self):
         return Err(StoreError(step="test", peer="store", detail="down"))
 
@@ -87,7 +96,7 @@
         if await self._call_fails("watch"):
             return self._error()
         for _ in range(10):
-            if after < self.compacted_revision:
+            if not self.compacted_revision <= after <= self.revision:
                 return Err(HistoryCompacted(after=after))
             changes = [i for i in self.history if i.revision > after]
             if changes or self.down:
