Store position: era and revision, so that a copy that takes over is followed

Cause: a mirror, its peers and its freshness compared bare revisions, which are taken to grow for ever.

Change: one type, Position (era, revision), with one owner of the era, StoreEra. The era is read from the header of the store's answers; where a store names none, a complete listing at a lower revision than one that was known begins the next. An answer of an earlier era that comes late is dropped; only a complete listing leads a mirror into a new era; peers tell their era and are copied whole across eras. A gateway registers again in a new era, as its lease's number may have been given to another.

--- a/kingcupvane/connection/bounded_response.py
+++ b/kingcupvane/connection/bounded_response.py
@@ -4,7 +4,8 @@
 send bytes without end, so the clients that use httpcore read through here.
 """
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 import httpcore
 import trio
@@ -23,10 +24,12 @@
     Attributes:
         status: HTTP status code.
         content: The body.
+        headers: The headers, names in lower case.
     """
 
     status: int
     content: bytes
+    headers: Mapping[bytes, bytes] = field(default_factory=dict)
 
 
 async def request(
@@ -60,7 +63,13 @@
         try:
             async for chunk in response.aiter_stream():
                 await add_chunk(partial, chunk)
-            return BoundedResponse(status=response.status, content=partial.body)
+            return BoundedResponse(
+                status=response.status,
+                content=partial.body,
+                headers={
+                    name.lower(): value for name, value in response.headers
+                },
+            )
         finally:
             partial.close()
 
--- a/kingcupvane/connection/messages.py
+++ b/kingcupvane/connection/messages.py
@@ -465,6 +465,7 @@
         record: The sending gateway.
         ready: Whether callers may be sent to it.
         as_of: Store revision of its mirror.
+        era: Era of the store to which that revision belongs.
         confirmed_age_s: Time since the store is known to have held nothing
             newer than that revision, in seconds.
         feed: Where its mirror is updated from.
@@ -492,6 +493,7 @@
     record: GatewayRecord
     ready: bool
     as_of: int
+    era: int = 0
     confirmed_age_s: float = float("inf")
     feed: MirrorSource = MirrorSource.PEERS
     use: dict[str, AccountUsage] = {}
@@ -513,9 +515,10 @@
 class MirrorRequest(
     msgspec.Struct, frozen=True, tag="mirror-request", kw_only=True
 ):
-    """Asks a peer for the changes of the store after a revision."""
+    """Asks a peer for the changes of the store after a revision of an era."""
 
     after: int
+    era: int = 0
 
 
 class MirrorReply(
@@ -526,6 +529,7 @@
     Attributes:
         items: The changed items; all items if `whole`.
         as_of: Store revision up to which the items are complete.
+        era: Era of the store to which that revision belongs.
         whole: Whether `items` is a complete listing.
         confirmed_age_s: Time since the store is known to have held nothing
             newer than `as_of`, in seconds.
@@ -534,6 +538,7 @@
     items: list[Item]
     as_of: int
     whole: bool
+    era: int = 0
     confirmed_age_s: float = float("inf")
 
 
--- a/kingcupvane/platform/store.py
+++ b/kingcupvane/platform/store.py
@@ -5,6 +5,7 @@
 
 import base64
 import binascii
+from dataclasses import dataclass
 from urllib.parse import quote, urlencode
 
 import httpcore
@@ -19,6 +20,7 @@
     ResponseMemoryBudget,
 )
 from kingcupvane.errors import StoreError
+from kingcupvane.process.item import Position
 from kingcupvane.process.store import (
     ABSENT_REVISION,
     NOT_FOUND,
@@ -29,6 +31,7 @@
     Listing,
     VmRecord,
 )
+from kingcupvane.process.store_era import StoreEra
 
 CONNECTIONS_MAX = 8
 KEEP_ALIVE_S = 30.0
@@ -36,6 +39,7 @@
 GONE = 410
 SERVICE_UNAVAILABLE = 503
 SUCCESS_STATUS_MAX = 299
+ERA_HEADER = b"store-era"
 # Largest listing that is accepted, over all its pages.
 LISTING_MAX_BYTES = 64 * 1024 * 1024
 # Time that the reply to a watch may take beyond the watch's own wait.
@@ -109,6 +113,21 @@
     lease: int = 0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Answer:
+    """An answer of the store that is not a failure.
+
+    Attributes:
+        status: HTTP status code.
+        body: The body.
+        era: Era of the store that gave it.
+    """
+
+    status: int
+    body: bytes
+    era: int
+
+
 class StoreConnections:
     """Kept connections to the store, given up together once one is silent."""
 
@@ -163,6 +182,7 @@
 
     Attributes:
         calls: Number of calls since the start, by operation.
+        era: Highest known era of the store.
     """
 
     def __init__(self, *, address: str, timeout_s: float):
@@ -176,6 +196,7 @@
         self._timeout_s = timeout_s
         self._connections = StoreConnections()
         self.calls: dict[str, int] = {}
+        self.era = StoreEra()
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -185,12 +206,13 @@
         """Returns an item; revision `ABSENT_REVISION` if the key is missing."""
         query = urlencode({"key": key})
         reply = await self._call("get", "GET", f"/kv-key?{query}")
-        match reply:
-            case Ok((status, _)) if status == NOT_FOUND:
-                return Ok(Item(key=key))
-            case Ok((_, body)):
-                return self._decode("get", body, WireItem).map(_to_item)
-        return reply
+        if isinstance(reply, Err):
+            return reply
+        answer = reply.ok_value
+        if answer.status == NOT_FOUND:
+            return Ok(Item(key=key, era=answer.era))
+        decoded = self._decode("get", answer.body, WireItem)
+        return decoded.map(lambda wire: _to_item(wire, answer.era))
 
     async def scan(
         self, prefix: str, *, stale: bool = False
@@ -206,7 +228,7 @@
                 store less.
         """
         items: list[Item] = []
-        revision = 0
+        position = Position()
         size_bytes = 0
         after = ""
         while True:
@@ -219,21 +241,33 @@
             reply = await self._call("scan", "GET", path)
             if isinstance(reply, Err):
                 return reply
-            decoded = self._decode("scan", reply.ok_value[1], WireRange)
+            answer = reply.ok_value
+            decoded = self._decode("scan", answer.body, WireRange)
             if isinstance(decoded, Err):
                 return decoded
             page = decoded.ok_value
-            size_bytes += len(reply.ok_value[1])
+            size_bytes += len(answer.body)
             if size_bytes > LISTING_MAX_BYTES:
                 return self._fail(
                     "scan",
                     f"over {LISTING_MAX_BYTES} bytes",
                     had_no_effect=True,
                 )
-            items.extend(_to_item(item) for item in page.items)
-            revision = revision or page.asOf
+            if not after:
+                position = Position(answer.era, page.asOf)
+            elif answer.era != position.era:
+                return self._fail(
+                    "scan", "the pages are of two eras", had_no_effect=True
+                )
+            items.extend(_to_item(item, answer.era) for item in page.items)
             if not page.morePages or not page.items:
-                return Ok(Listing(items=items, revision=revision))
+                return Ok(
+                    Listing(
+                        items=items,
+                        revision=position.revision,
+                        era=position.era,
+                    )
+                )
             if page.items[-1].key <= after:
                 return self._fail(
                     "scan", "the pages do not advance", had_no_effect=True
@@ -257,15 +291,15 @@
         )
         if isinstance(reply, Err):
             return reply
-        status, reply_body = reply.ok_value
-        if status == PRECONDITION_FAILED:
-            return self._conflict(key, reply_body)
-        if status == NOT_FOUND:
+        answer = reply.ok_value
+        if answer.status == PRECONDITION_FAILED:
+            return self._conflict(key, answer)
+        if answer.status == NOT_FOUND:
             return self._fail("swap", "no such lease", had_no_effect=True)
-        decoded = self._decode("swap", reply_body, WireRevision)
+        decoded = self._decode("swap", answer.body, WireRevision)
         return decoded.map(
             lambda written: Item(
-                key=key, value=value, revision=written.revision
+                key=key, value=value, revision=written.revision, era=answer.era
             )
         )
 
@@ -275,18 +309,18 @@
         reply = await self._call("grant", "POST", "/kv-lease", body)
         if isinstance(reply, Err):
             return reply
-        decoded = self._decode("grant", reply.ok_value[1], WireLease)
+        decoded = self._decode("grant", reply.ok_value.body, WireLease)
         return decoded.map(lambda grant: grant.lease)
 
     async def renew(self, lease: int) -> Result[bool, StoreError]:
         """Renews a lease; returns false if it has ended."""
         reply = await self._call("renew", "POST", f"/kv-keep/{lease}")
-        return reply.map(lambda outcome: outcome[0] != NOT_FOUND)
+        return reply.map(lambda answer: answer.status != NOT_FOUND)
 
     async def revoke(self, lease: int) -> Result[bool, StoreError]:
         """Ends a lease and removes its items; returns false if it had ended."""
         reply = await self._call("revoke", "DELETE", f"/kv-lease-end/{lease}")
-        return reply.map(lambda outcome: outcome[0] != NOT_FOUND)
+        return reply.map(lambda answer: answer.status != NOT_FOUND)
 
     async def watch(
         self, prefix: str, *, after: int, wait_s: float
@@ -314,14 +348,15 @@
         )
         if isinstance(reply, Err):
             return reply
-        status, body = reply.ok_value
-        if status == GONE:
+        answer = reply.ok_value
+        if answer.status == GONE:
             return Err(HistoryCompacted(after=after))
-        decoded = self._decode("watch", body, WireEvents)
+        decoded = self._decode("watch", answer.body, WireEvents)
         return decoded.map(
             lambda page: Listing(
-                items=[_to_item(event) for event in page.events],
+                items=[_to_item(event, answer.era) for event in page.events],
                 revision=page.asOf,
+                era=answer.era,
             )
         )
 
@@ -329,14 +364,14 @@
         """Returns an empty list: this platform has no list of VMs."""
         return Ok([])
 
-    def _conflict(self, key: str, body: bytes) -> Err:
-        decoded = self._decode("swap", body, WireConflict)
+    def _conflict(self, key: str, answer: Answer) -> Err:
+        decoded = self._decode("swap", answer.body, WireConflict)
         if isinstance(decoded, Err):
             return decoded
         for item in decoded.ok_value.items:
             if item is not None and item.key == key:
-                return Err(Conflict(current=_to_item(item)))
-        return Err(Conflict(current=Item(key=key)))
+                return Err(Conflict(current=_to_item(item, answer.era)))
+        return Err(Conflict(current=Item(key=key, era=answer.era)))
 
     async def _call(
         self,
@@ -346,13 +381,14 @@
         body: bytes = b"",
         *,
         timeout_s: float = 0.0,
-    ) -> Result[tuple[int, bytes], StoreError]:
+    ) -> Result[Answer, StoreError]:
         self.calls[operation] = self.calls.get(operation, 0) + 1
         headers = {"content-length": str(len(body))}
         if body:
             headers["content-type"] = "application/json"
         detail = "timeout"
         connections = self._connections
+        asked_in = self.era.current
         with trio.move_on_after(timeout_s or self._timeout_s) as scope:
             try:
                 response = await connections.request(
@@ -372,7 +408,7 @@
             except AnswerTooLargeError as error:
                 detail = f"{type(error).__name__}: {error}"
             else:
-                return self._check_status(operation, response)
+                return self._check(operation, response, asked_in=asked_in)
         if scope.cancelled_caught:
             await self._replace(connections)
         return self._fail(operation, detail, had_no_effect=False)
@@ -386,13 +422,22 @@
             self._connections = StoreConnections()
         await connections.retire()
 
-    def _check_status(
-        self, operation: str, response: BoundedResponse
-    ) -> Result[tuple[int, bytes], StoreError]:
+    def _check(
+        self, operation: str, response: BoundedResponse, *, asked_in: int
+    ) -> Result[Answer, StoreError]:
+        named = response.headers.get(ERA_HEADER)
+        era = self.era.resolve(
+            named.decode("latin-1") if named is not None else None,
+            asked_in=asked_in,
+        )
+        if era is None:
+            return self._fail(
+                operation, "answer of an earlier era", had_no_effect=False
+            )
         status = response.status
         is_expected = status in (NOT_FOUND, PRECONDITION_FAILED, GONE)
         if status <= SUCCESS_STATUS_MAX or is_expected:
-            return Ok((status, response.content))
+            return Ok(Answer(status=status, body=response.content, era=era))
         had_no_effect = status in (TOO_MANY_REQUESTS, SERVICE_UNAVAILABLE)
         return self._fail(
             operation, f"status {status}", had_no_effect=had_no_effect
@@ -417,12 +462,13 @@
         )
 
 
-def _to_item(wire: WireItem) -> Item:
+def _to_item(wire: WireItem, era: int) -> Item:
     return Item(
         key=wire.key,
         value=_decode_value(wire.value),
         revision=wire.revision,
         deleted=wire.tombstone,
+        era=era,
     )
 
 
--- a/kingcupvane/process/catalog.py
+++ b/kingcupvane/process/catalog.py
@@ -359,6 +359,18 @@
         """Records that no live gateway watches the store now."""
         self._store_unreachable_at = self._clock.now()
 
+    def begin_store_era(self) -> None:
+        """Prepares for what a store that came back from a copy has forgotten.
+
+        Registrations that are missing have the usual time to be written again,
+        and a target that had announced its stop is still leaving, even if the
+        copy is older than that.
+        """
+        self.mark_store_unreachable()
+        for view in list(self._views_by_name.values()):
+            if view.target.leaving:
+                self.mark_leaving(instance_of(view.target), source="store")
+
     def views(self, service: str) -> list[TargetView]:
         """Returns the registered targets of a service."""
         return self._views_by_service.get(service, [])
--- a/kingcupvane/process/freshness.py
+++ b/kingcupvane/process/freshness.py
@@ -1,16 +1,17 @@
 """How far a gateway's mirror is known to lag behind the store; does no I/O.
 
 A gateway learns from its own calls and from the reports of peers up to which
-revision, and how long ago, a mirror was complete. From that it decides whether
+position, and how long ago, a mirror was complete. From that it decides whether
 copying from peers is enough, or whether it must ask the store itself.
 """
 
 import enum
 import math
 
+from kingcupvane.process.item import Position
 from kingcupvane.process.mirror import Mirror
 
-# Time for which peers may know a newer revision that cannot be copied from
+# Time for which peers may know a newer position that cannot be copied from
 # them, in seconds.
 BEHIND_MAX_S = 0.5
 # Age of the last confirmation from which the gateways that watch the store
@@ -30,7 +31,7 @@
     MISSING = "missing"
     # Nobody has said for too long that there is nothing newer.
     UNCONFIRMED = "unconfirmed"
-    # The store answered at a revision below that of the mirror.
+    # The store answered at a position below that of the mirror.
     AHEAD = "ahead"
 
 
@@ -40,9 +41,9 @@
     Attributes:
         confirmed_at: Latest monotonic time at which the store is known to have
             held nothing newer than the mirror, in seconds.
-        newest_revision: Highest store revision that was heard of.
-        answered_revision: Store revision of the store's last answer to this
-            gateway; 0 before the first.
+        newest: Highest position that was heard of.
+        answered: Position of the store's last answer to this gateway; the
+            lowest before the first.
     """
 
     def __init__(self, *, mirror: Mirror, now: float):
@@ -53,38 +54,44 @@
             now: Monotonic seconds.
         """
         self._mirror = mirror
-        self._missing_revision = 0
+        self._missing = Position()
         self._missing_since = math.inf
         self._fallback_until = -math.inf
         self.confirmed_at = now
-        self.newest_revision = 0
-        self.answered_revision = 0
+        self.newest = Position()
+        self.answered = Position()
         self._is_ahead = False
 
-    def note_answer(self, revision: int, *, asked_at_revision: int) -> None:
-        """Notes at which revision the store has answered.
+    def note_answer(self, answered: Position, *, asked_at: Position) -> None:
+        """Notes at which position the store has answered.
 
         Args:
-            revision: The revision that the answer names.
-            asked_at_revision: The mirror's revision when the call was made.
+            answered: The position of the answer.
+            asked_at: The mirror's position when the call was made.
         """
-        self.answered_revision = revision
-        self._is_ahead = revision < asked_at_revision
+        self.answered = answered
+        self._is_ahead = answered < asked_at
 
-    def confirm(self, revision: int, now: float, *, age_s: float = 0.0) -> None:
-        """Notes that the store held nothing newer than a revision.
+    def confirm(
+        self, position: Position, now: float, *, age_s: float = 0.0
+    ) -> None:
+        """Notes that the store held nothing newer than a position.
+
+        What a peer believes of an earlier era than the mirror's is ignored.
 
         Args:
-            revision: The revision.
+            position: The position.
             now: Monotonic seconds.
             age_s: How long ago that was the case, in seconds; infinite when
-                only the revision is known.
+                only the position is known.
         """
-        self.newest_revision = max(self.newest_revision, revision)
-        if revision <= self._mirror.as_of:
+        self.newest = max(self.newest, position)
+        if position.era < self._mirror.as_of.era:
+            return
+        if position <= self._mirror.as_of:
             self.confirmed_at = max(self.confirmed_at, now - max(0.0, age_s))
-        elif self._missing_revision <= self._mirror.as_of:
-            self._missing_revision = revision
+        elif self._missing <= self._mirror.as_of:
+            self._missing = position
             self._missing_since = now
 
     def age_s(self, now: float) -> float:
@@ -105,7 +112,7 @@
         if self._is_ahead:
             return Staleness.AHEAD
         if (
-            self._missing_revision > self._mirror.as_of
+            self._missing > self._mirror.as_of
             and now - self._missing_since > BEHIND_MAX_S
         ):
             return Staleness.MISSING
--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -233,6 +233,7 @@
             peers=self._peers,
             settings=settings.store,
             apply_items=self._apply_items,
+            begin_era=self._catalog.begin_store_era,
             clock=self._clock,
             timeline=self._timeline,
         )
@@ -399,7 +400,8 @@
         freshness = self._replicator.freshness
         return {
             "plan_age_s": round(freshness.age_s(self._clock.now()), 3),
-            "revision": self._mirror.as_of,
+            "era": self._mirror.as_of.era,
+            "revision": self._mirror.as_of.revision,
         }
 
     async def run(self) -> None:
@@ -595,12 +597,13 @@
         metrics.mirror_age_seconds.set(
             {}, round(now - self._replicator.confirmed_at, 3)
         )
-        metrics.mirror_revision.set({}, self._mirror.as_of)
+        metrics.mirror_revision.set({}, self._mirror.as_of.revision)
+        metrics.store_era.set({}, self._mirror.as_of.era)
         metrics.peer_revision.set(
-            {}, self._replicator.freshness.newest_revision
+            {}, self._replicator.freshness.newest.revision
         )
         metrics.answered_revision.set(
-            {}, self._replicator.freshness.answered_revision
+            {}, self._replicator.freshness.answered.revision
         )
         staleness = self._replicator.freshness.staleness(now)
         for state in Staleness:
--- a/kingcupvane/process/metrics.py
+++ b/kingcupvane/process/metrics.py
@@ -127,6 +127,10 @@
             "kingcupvane_peers_store_revision",
             "Newest store revision that this gateway has heard of.",
         )
+        self.store_era = self._gauge(
+            "kingcupvane_store_era",
+            "Number of times that the store came back from an older copy.",
+        )
         self.answered_revision = self._gauge(
             "kingcupvane_store_answered_revision",
             "Store revision of the store's last answer to this gateway.",
--- a/kingcupvane/process/mirror.py
+++ b/kingcupvane/process/mirror.py
@@ -1,14 +1,15 @@
 """Mirror: a local copy of the platform's store.
 
 The mirror is updated from watches of the store and from other gateways. Each
-item carries its store revision, so updates may be late, duplicated and out of
-order: the higher revision wins. A removed key stays as a tombstone, so that
-the removal reaches other mirrors; the oldest tombstones are pruned.
+item carries its position in the store's history, so updates may be late,
+duplicated and out of order: the higher position wins. A removed key stays as a
+tombstone, so that the removal reaches other mirrors; the oldest tombstones are
+pruned.
 """
 
 from collections.abc import Iterable, Iterator
 
-from kingcupvane.process.store import Item
+from kingcupvane.process.item import Item, Position
 
 # Largest number of tombstones kept; a peer's mirror that lags behind the oldest
 # of them copies all items.
@@ -20,7 +21,7 @@
 
     Attributes:
         prefix: Start of all its keys.
-        as_of: Store revision up to which the mirror is complete; 0 before
+        as_of: Position up to which the mirror is complete; the lowest before
             the first listing.
     """
 
@@ -31,15 +32,15 @@
             prefix: Start of all keys to mirror.
         """
         self.prefix = prefix
-        self.as_of = 0
+        self.as_of = Position()
         self._items_by_key: dict[str, Item] = {}
         self._tombstones_by_key: dict[str, Item] = {}
-        self._pruned_revision = 0
+        self._pruned_up_to = Position()
 
     @property
     def is_loaded(self) -> bool:
         """Whether the mirror has been filled, from the store or a peer."""
-        return self.as_of > 0
+        return self.as_of > Position()
 
     def get(self, key: str) -> Item | None:
         """Returns the item of a key; None if absent."""
@@ -49,68 +50,92 @@
         """Yields all items, without tombstones."""
         return iter(self._items_by_key.values())
 
-    def replace(self, items: Iterable[Item], *, as_of: int) -> list[Item]:
+    def replace(self, items: Iterable[Item], *, as_of: Position) -> list[Item]:
         """Applies a complete listing.
 
         Keys that it lacks are removed, unless the mirror's item is newer than
-        the listing.
+        the listing. A listing of an earlier era changes nothing.
 
         Args:
             items: All items under the prefix.
-            as_of: Store revision of the listing.
+            as_of: Position of the listing.
 
         Returns:
             The changed items; removed keys as tombstones.
         """
+        if as_of.era < self.as_of.era:
+            return []
         listed = {item.key: item for item in items}
         changed = []
         for key, known in list(self._items_by_key.items()):
-            if key not in listed and known.revision <= as_of:
-                tombstone = Item(key=key, revision=as_of, deleted=True)
+            if key not in listed and known.position <= as_of:
+                tombstone = Item(
+                    key=key,
+                    revision=as_of.revision,
+                    era=as_of.era,
+                    deleted=True,
+                )
                 changed.extend(self._apply(tombstone))
         for item in listed.values():
             changed.extend(self._apply(item))
         # A listing does not name the keys that were removed before it.
-        self._pruned_revision = max(self._pruned_revision, as_of)
+        self._pruned_up_to = max(self._pruned_up_to, as_of)
         self.as_of = max(self.as_of, as_of)
         return changed
 
-    def merge(self, items: Iterable[Item], *, as_of: int) -> list[Item]:
-        """Applies all changes between the mirror's revision and `as_of`.
+    def merge(self, items: Iterable[Item], *, as_of: Position) -> list[Item]:
+        """Applies all changes between the mirror's position and `as_of`.
+
+        Changes of another era than the mirror's change nothing: only a
+        complete listing leads into a new era.
 
         Args:
             items: The changes; removed keys as tombstones.
-            as_of: Store revision up to which they are complete.
+            as_of: Position up to which they are complete.
 
         Returns:
-            The items that were newer than the mirror's.
+            The items that differ from the mirror's.
+        """
+        if as_of.era != self.as_of.era:
+            return []
+        changed = self.add(items)
+        self.as_of = max(self.as_of, as_of)
+        return changed
+
+    def add(self, items: Iterable[Item]) -> list[Item]:
+        """Applies single changes that say nothing of other keys.
+
+        Returns:
+            The items that differ from the mirror's.
         """
         changed = []
         for item in items:
-            changed.extend(self._apply(item))
-        self.as_of = max(self.as_of, as_of)
+            if item.era == self.as_of.era:
+                changed.extend(self._apply(item))
         return changed
 
-    def changes_since(self, revision: int) -> list[Item] | None:
-        """Returns all changes after a revision.
+    def changes_since(self, position: Position) -> list[Item] | None:
+        """Returns all changes after a position.
 
         Returns:
-            The changes, or None when tombstones among them may be missing.
+            The changes, or None when the position is of an earlier era or
+            tombstones among them may be missing.
         """
-        if revision < self._pruned_revision:
+        if position < self._pruned_up_to or position.era != self.as_of.era:
             return None
         live = self._items_by_key.values()
         tombstones = self._tombstones_by_key.values()
         return [
-            item for item in (*live, *tombstones) if item.revision > revision
+            item for item in (*live, *tombstones) if item.position > position
         ]
 
     def _apply(self, item: Item) -> Iterator[Item]:
-        """Applies an item and yields it if it is newer than the mirror's."""
+        """Applies a newer item; yields it if it says something else."""
         key = item.key
         known = self._items_by_key.get(key) or self._tombstones_by_key.get(key)
-        if known is not None and item.revision <= known.revision:
+        if known is not None and item.position <= known.position:
             return
+        is_changed = known is None or not _is_same_write(item, known)
         if item.deleted:
             self._items_by_key.pop(key, None)
             self._tombstones_by_key[key] = item
@@ -118,10 +143,20 @@
         else:
             self._tombstones_by_key.pop(key, None)
             self._items_by_key[key] = item
-        yield item
+        if is_changed:
+            yield item
 
     def _prune_tombstones(self) -> None:
         while len(self._tombstones_by_key) > TOMBSTONES_MAX:
             key = next(iter(self._tombstones_by_key))
             oldest = self._tombstones_by_key.pop(key)
-            self._pruned_revision = max(self._pruned_revision, oldest.revision)
+            self._pruned_up_to = max(self._pruned_up_to, oldest.position)
+
+
+def _is_same_write(item: Item, known: Item) -> bool:
+    """Returns whether an item of a later era is what the copy has kept."""
+    return (item.revision, item.value, item.deleted) == (
+        known.revision,
+        known.value,
+        known.deleted,
+    )
--- a/kingcupvane/process/replication.py
+++ b/kingcupvane/process/replication.py
@@ -6,7 +6,8 @@
 gateway whose mirror lags all the same watches the store itself for a while.
 """
 
-from collections.abc import Callable
+import enum
+from collections.abc import Callable, Iterable
 
 import msgspec
 import trio
@@ -20,10 +21,15 @@
     MirrorSource,
 )
 from kingcupvane.process.freshness import MirrorFreshness, Staleness
-from kingcupvane.process.item import ABSENT_REVISION, Item
+from kingcupvane.process.item import ABSENT_REVISION, Item, Position
 from kingcupvane.process.mirror import Mirror
 from kingcupvane.process.peering import PeerTable, store_watchers
-from kingcupvane.process.store import Conflict, HistoryCompacted, Store
+from kingcupvane.process.store import (
+    Conflict,
+    HistoryCompacted,
+    Listing,
+    Store,
+)
 from kingcupvane.process.timeline import Timeline
 from kingcupvane.settings import PlatformStoreSettings
 
@@ -44,6 +50,14 @@
 GATEWAY_RECORD_PREFIX = "gateways/"
 
 
+class FetchOutcome(enum.Enum):
+    """What came of reading the store once."""
+
+    FAILED = enum.auto()
+    UNCHANGED = enum.auto()
+    CHANGED = enum.auto()
+
+
 class StoreReplicator:
     """Keeps the mirror up to date; watches the store if chosen as watcher.
 
@@ -62,6 +76,7 @@
         peers: PeerTable,
         settings: PlatformStoreSettings,
         apply_items: Callable[[list[Item]], None],
+        begin_era: Callable[[], None],
         clock: Clock,
         timeline: Timeline,
     ):
@@ -73,6 +88,8 @@
             peers: The known gateways, from which watchers are chosen.
             settings: Settings of calls to the store.
             apply_items: Called with the items that changed.
+            begin_era: Called before the first items of a later era of the
+                store are applied.
             clock: Monotonic clock.
             timeline: Log of the store's loss and return.
         """
@@ -81,6 +98,7 @@
         self._peers = peers
         self._settings = settings
         self._apply_items = apply_items
+        self._begin_era = begin_era
         self._clock = clock
         self._timeline = timeline
         self.mirror_source = MirrorSource.LOST
@@ -109,8 +127,8 @@
         if self.mirror_source is MirrorSource.PEERS:
             self._timeline.record(
                 "mirror-stale",
-                own=self._mirror.as_of,
-                reported=self.freshness.newest_revision,
+                own=_describe(self._mirror.as_of),
+                reported=_describe(self.freshness.newest),
                 age_s=round(self.freshness.age_s(now), 3),
             )
         return True
@@ -129,11 +147,11 @@
     async def _update_once(self) -> None:
         """Updates the mirror from the store once, then waits.
 
-        After a failure the wait is a backoff; after changes it lets further
-        ones collect for the next call. Otherwise there is none.
+        After a failure the wait is a backoff; after changes or a listing it
+        lets further changes collect for the next call. Otherwise there is none.
         """
-        before = self._mirror.as_of
-        if not await self._fetch_changes():
+        outcome = await self._fetch_changes()
+        if outcome is FetchOutcome.FAILED:
             self._mark_lost()
             await trio.sleep(self._retry_delay_s)
             self._retry_delay_s = min(
@@ -145,48 +163,93 @@
         self.freshness.confirm(self._mirror.as_of, self.confirmed_at)
         if self.mirror_source is not MirrorSource.STORE:
             self.mirror_source = MirrorSource.STORE
-            self._timeline.record("store-regained", as_of=self._mirror.as_of)
-        if self._mirror.as_of > before:
+            self._timeline.record(
+                "store-regained",
+                era=self._mirror.as_of.era,
+                as_of=self._mirror.as_of.revision,
+            )
+        if outcome is FetchOutcome.CHANGED:
             await trio.sleep(BATCH_DELAY_S)
 
-    async def _fetch_changes(self) -> bool:
-        """Watches for changes; returns whether the store answered.
+    async def _fetch_changes(self) -> FetchOutcome:
+        """Watches for changes.
 
-        When the mirror's source was not the store, or after a failed watch,
-        all items are read again.
+        All items are read again when the mirror's source was not the store,
+        after a failed watch, and when the mirror and the store are not in the
+        same history.
         """
         mirror = self._mirror
-        if self.mirror_source is not MirrorSource.STORE:
-            return await self._fetch_all()
         asked_at = mirror.as_of
+        if (
+            self.mirror_source is not MirrorSource.STORE
+            or asked_at.era != self._store.era.current
+        ):
+            return await self._fetch_all()
         reply = await self._store.watch(
-            mirror.prefix, after=mirror.as_of, wait_s=self._settings.watch_s
+            mirror.prefix,
+            after=asked_at.revision,
+            wait_s=self._settings.watch_s,
         )
         match reply:
-            case Ok(listing):
-                self.freshness.note_answer(
-                    listing.revision, asked_at_revision=asked_at
+            case Ok(listing) if listing.position < asked_at:
+                self._timeline.record(
+                    "store-went-back",
+                    after=asked_at.revision,
+                    answered=listing.revision,
                 )
-                changed = mirror.merge(listing.items, as_of=listing.revision)
-                self._apply_items(changed)
-                return True
+            case Ok(listing) if listing.era == asked_at.era:
+                return self._apply_watched(listing, asked_at)
+            case Ok(_):
+                pass
             case Err(HistoryCompacted()):
-                self._timeline.record("store-history-gone", after=mirror.as_of)
+                self._timeline.record(
+                    "store-history-gone", after=asked_at.revision
+                )
             case Err(error):
                 self._timeline.record("store-watch-cut", why=error.detail)
         return await self._fetch_all()
 
-    async def _fetch_all(self) -> bool:
+    def _apply_watched(
+        self, listing: Listing, asked_at: Position
+    ) -> FetchOutcome:
+        self.freshness.note_answer(listing.position, asked_at=asked_at)
+        before = self._mirror.as_of
+        changed = self._mirror.merge(listing.items, as_of=listing.position)
+        self._apply_items(changed)
+        if self._mirror.as_of > before:
+            return FetchOutcome.CHANGED
+        return FetchOutcome.UNCHANGED
+
+    async def _fetch_all(self) -> FetchOutcome:
         asked_at = self._mirror.as_of
         reply = await self._store.scan(self._mirror.prefix)
         if isinstance(reply, Err):
             self._failure_detail = reply.err_value.detail
-            return False
+            return FetchOutcome.FAILED
         listing = reply.ok_value
-        self.freshness.note_answer(listing.revision, asked_at_revision=asked_at)
-        changed = self._mirror.replace(listing.items, as_of=listing.revision)
-        self._apply_items(changed)
-        return True
+        self.freshness.note_answer(listing.position, asked_at=asked_at)
+        if listing.position < asked_at:
+            era = self._store.era.begin_next(asked_in=asked_at.era)
+            if era is None:
+                self._failure_detail = "listing is older than the mirror"
+                return FetchOutcome.FAILED
+            listing = listing.in_era(era)
+        self._replace(listing.items, as_of=listing.position)
+        return FetchOutcome.CHANGED
+
+    def _replace(self, items: Iterable[Item], *, as_of: Position) -> None:
+        """Replaces the mirror's items, also by those of a later era."""
+        before = self._mirror.as_of
+        if as_of.era > before.era and self._mirror.is_loaded:
+            self._timeline.record(
+                "store-restored",
+                era_before=before.era,
+                era=as_of.era,
+                known=before.revision,
+                as_of=as_of.revision,
+            )
+            self._begin_era()
+        self._apply_items(self._mirror.replace(items, as_of=as_of))
 
     def _mark_lost(self) -> None:
         if self.mirror_source is not MirrorSource.LOST:
@@ -207,9 +270,9 @@
             "mirror-state",
             state=staleness.value,
             source=self.mirror_source.value,
-            own=self._mirror.as_of,
-            heard=self.freshness.newest_revision,
-            answered=self.freshness.answered_revision,
+            own=_describe(self._mirror.as_of),
+            heard=_describe(self.freshness.newest),
+            answered=_describe(self.freshness.answered),
             age_s=round(self.freshness.age_s(now), 3),
         )
 
@@ -220,11 +283,13 @@
         that it lacks have been pruned here.
         """
         mirror = self._mirror
-        changes = mirror.changes_since(request.after) if request.after else None
+        after = Position(request.era, request.after)
+        changes = mirror.changes_since(after) if after > Position() else None
         whole = changes is None
         return MirrorReply(
             items=list(mirror.items()) if whole else changes,
-            as_of=mirror.as_of,
+            as_of=mirror.as_of.revision,
+            era=mirror.as_of.era,
             whole=whole,
             confirmed_age_s=self.freshness.age_s(self._clock.now()),
         )
@@ -233,10 +298,17 @@
         """Applies changes from a peer's mirror."""
         now = self._clock.now()
         self.confirmed_at = now
-        mirror = self._mirror
-        update = mirror.replace if reply.whole else mirror.merge
-        self._apply_items(update(reply.items, as_of=reply.as_of))
-        self.freshness.confirm(reply.as_of, now, age_s=reply.confirmed_age_s)
+        as_of = Position(reply.era, reply.as_of)
+        self._store.era.hear(as_of.era)
+        if reply.whole:
+            self._replace(reply.items, as_of=as_of)
+        else:
+            self._apply_items(self._mirror.merge(reply.items, as_of=as_of))
+        self.freshness.confirm(as_of, now, age_s=reply.confirmed_age_s)
+
+
+def _describe(position: Position) -> str:
+    return f"{position.era}:{position.revision}"
 
 
 class GatewayRegistration:
@@ -267,10 +339,16 @@
         self._record = record
         self._ttl_s = ttl_s
         self._lease = 0
+        self._lease_era = 0
 
     async def run(self) -> None:
         """Writes the record and renews its lease until cancelled."""
         while True:
+            if self._lease_era != self._store.era.current:
+                # The store may have forgotten the lease, and may have given
+                # its number to another gateway since.
+                self._lease = 0
+                self._listed_until = float("-inf")
             asked_at = self._clock.now()
             if not self._lease:
                 self._lease = await self._register()
@@ -304,6 +382,7 @@
         it tries once more with the key's present revision.
         """
         granted = await self._store.grant(self._ttl_s)
+        self._lease_era = self._store.era.current
         if isinstance(granted, Err):
             return 0
         lease = granted.ok_value
--- a/kingcupvane/process/reporting.py
+++ b/kingcupvane/process/reporting.py
@@ -28,6 +28,7 @@
 from kingcupvane.process.catalog import Catalog
 from kingcupvane.process.crash_trials import CrashTrials
 from kingcupvane.process.evidence_collection import EvidenceCollector
+from kingcupvane.process.item import Position
 from kingcupvane.process.mirror import Mirror
 from kingcupvane.process.peering import PeerTable
 from kingcupvane.process.replication import StoreReplicator
@@ -78,12 +79,12 @@
     """The peer whose mirror of the store is newest, if newer than the own one.
 
     Attributes:
-        as_of: Store revision of its mirror.
+        as_of: Position of its mirror.
         address: Its peer address.
         updated: Set when `as_of` and `address` are set.
     """
 
-    as_of: int = 0
+    as_of: Position = Position()
     address: str = ""
     updated: trio.Event = field(default_factory=trio.Event)
 
@@ -229,7 +230,8 @@
         return GatewayReport(
             record=self._peers.own,
             ready=self._is_ready(),
-            as_of=self._mirror.as_of,
+            as_of=self._mirror.as_of.revision,
+            era=self._mirror.as_of.era,
             confirmed_age_s=self._replicator.freshness.age_s(now),
             feed=self._replicator.mirror_source,
             use=self._quota.usage_by_account(now) if local else {},
@@ -343,11 +345,12 @@
             self._receive_progress(progress, now)
         for checkpoint in report.checkpoints:
             self._receive_checkpoint(checkpoint, now)
+        as_of = Position(report.era, report.as_of)
         self._replicator.freshness.confirm(
-            report.as_of, now, age_s=report.confirmed_age_s
+            as_of, now, age_s=report.confirmed_age_s
         )
-        if report.as_of > max(self._mirror.as_of, self._newest_mirror.as_of):
-            self._newest_mirror.as_of = report.as_of
+        if as_of > max(self._mirror.as_of, self._newest_mirror.as_of):
+            self._newest_mirror.as_of = as_of
             self._newest_mirror.address = sender.peer_address
             self._newest_mirror.updated.set()
 
@@ -510,7 +513,8 @@
             newest, self._newest_mirror = self._newest_mirror, NewestMirror()
             if newest.as_of <= self._mirror.as_of:
                 continue
-            request = MirrorRequest(after=self._mirror.as_of)
+            own = self._mirror.as_of
+            request = MirrorRequest(after=own.revision, era=own.era)
             reply = await self._client.ask(newest.address, request)
             match reply:
                 case Ok(MirrorReply() as changes):
@@ -519,7 +523,7 @@
                     self._timeline.record(
                         "mirror-pull-failed",
                         peer=newest.address,
-                        own=self._mirror.as_of,
-                        reported=newest.as_of,
+                        own=own.revision,
+                        reported=newest.as_of.revision,
                         why=error.detail,
                     )
--- a/kingcupvane/process/rollout_task.py
+++ b/kingcupvane/process/rollout_task.py
@@ -381,10 +381,10 @@
         )
         match reply:
             case Ok(item):
-                self._apply_items(self._mirror.merge([item], as_of=0))
+                self._apply_items(self._mirror.add([item]))
                 return True
             case Err(Conflict(current=current)):
-                self._apply_items(self._mirror.merge([current], as_of=0))
+                self._apply_items(self._mirror.add([current]))
             case Err(error):
                 self._timeline.record(
                     "rollout-not-written",
--- a/kingcupvane/process/store.py
+++ b/kingcupvane/process/store.py
@@ -22,6 +22,8 @@
 from kingcupvane.errors import StoreError
 from kingcupvane.process.item import ABSENT_REVISION as ABSENT_REVISION
 from kingcupvane.process.item import Item as Item
+from kingcupvane.process.item import Position
+from kingcupvane.process.store_era import StoreEra
 
 # HTTP status codes of the store.
 CONFLICT = 409
@@ -34,10 +36,23 @@
 
 
 class Listing(msgspec.Struct, frozen=True, kw_only=True):
-    """Items under a prefix, and the store's revision when they were read."""
+    """Items under a prefix, and the store's position when they were read."""
 
     items: list[Item]
     revision: int
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """The store's position when the items were read."""
+        return Position(self.era, self.revision)
+
+    def in_era(self, era: int) -> "Listing":
+        """Returns the same listing as one of an era."""
+        if era == self.era:
+            return self
+        items = [msgspec.structs.replace(item, era=era) for item in self.items]
+        return Listing(items=items, revision=self.revision, era=era)
 
 
 class VmRecord(msgspec.Struct, frozen=True, kw_only=True):
@@ -89,9 +104,11 @@
 
     Attributes:
         calls: Calls made since the start, by operation.
+        era: Highest known era of the store; each item and listing has its own.
     """
 
     calls: dict[str, int]
+    era: StoreEra
 
     async def get(self, key: str) -> Result[Item, StoreError]:
         """Returns the item; revision `ABSENT_REVISION` when there is none."""
@@ -140,6 +157,7 @@
 
     Attributes:
         calls: Calls made since the start, by operation.
+        era: The era, always 0: this store has no older copies.
     """
 
     def __init__(self, *, address: str, timeout_s: float):
@@ -156,6 +174,7 @@
         )
         self._memory = ResponseMemoryBudget()
         self.calls: dict[str, int] = {}
+        self.era = StoreEra()
 
     async def close(self) -> None:
         """Closes all connections."""
--- a/kingcupvane/tests/fakes.py
+++ b/kingcupvane/tests/fakes.py
@@ -7,6 +7,7 @@
 
 from kingcupvane.errors import StoreError
 from kingcupvane.process.store import Conflict, Item, Listing, VmRecord
+from kingcupvane.process.store_era import StoreEra
 from kingcupvane.standin.store import StoreState
 
 WALL_START_S = 1.7e9
@@ -41,6 +42,7 @@
     def __init__(self, *, clock):
         """Creates an empty store."""
         self.state = StoreState(clock=clock)
+        self.era = StoreEra()
         self.faults: deque[str] = deque()
         self.down = False
         self.delay_s = 0.0
--- a/kingcupvane/tests/rollout_fleet.py
+++ b/kingcupvane/tests/rollout_fleet.py
@@ -202,7 +202,7 @@
         """Exchanges reports with all gateways that it reaches."""
         if not self.is_cut_off:
             listing = self.fleet.store.state.list("")
-            self.apply_items(self.mirror.merge(listing, as_of=0))
+            self.apply_items(self.mirror.add(listing))
         for peer in self.fleet.by_name.values():
             if peer is not self and self.fleet.can_reach(self, peer):
                 peer.receive(self)
--- a/kingcupvane/tests/test_freshness.py
+++ b/kingcupvane/tests/test_freshness.py
@@ -11,14 +11,18 @@
     MirrorFreshness,
     Staleness,
 )
-from kingcupvane.process.item import Item
+from kingcupvane.process.item import Item, Position
 from kingcupvane.process.mirror import Mirror
 
 
+def at(revision, *, era=0):
+    return Position(era, revision)
+
+
 @pytest.fixture
 def mirror():
     mirror = Mirror(prefix="")
-    mirror.merge([], as_of=10)
+    mirror.merge([], as_of=at(10))
     return mirror
 
 
@@ -28,33 +32,33 @@
 
 
 def test_confirmation_of_the_own_or_an_older_revision_makes_it_fresh(freshness):
-    freshness.confirm(10, 2.0, age_s=0.5)
+    freshness.confirm(at(10), 2.0, age_s=0.5)
     assert freshness.age_s(2.0) == 0.5
-    freshness.confirm(9, 3.0, age_s=0.25)
+    freshness.confirm(at(9), 3.0, age_s=0.25)
     assert freshness.age_s(3.0) == 0.25
-    freshness.confirm(10, 4.0, age_s=inf)
+    freshness.confirm(at(10), 4.0, age_s=inf)
     assert freshness.age_s(4.0) == 1.25
 
 
 def test_newer_revision_that_arrives_in_time_needs_no_call(mirror, freshness):
     for step in range(1, 20):
         now = step * BEHIND_MAX_S
-        freshness.confirm(10 + step, now, age_s=0.1)
-        mirror.merge([Item(key="k", revision=10 + step)], as_of=10 + step)
-        freshness.confirm(10 + step, now + 0.1, age_s=0.2)
+        freshness.confirm(at(10 + step), now, age_s=0.1)
+        mirror.merge([Item(key="k", revision=10 + step)], as_of=at(10 + step))
+        freshness.confirm(at(10 + step), now + 0.1, age_s=0.2)
         assert not freshness.must_ask_store(now + 0.9 * BEHIND_MAX_S)
 
 
 def test_revision_that_cannot_be_copied_asks_the_store(mirror, freshness):
     """Further changes must not start the time anew."""
     for step in range(8):
-        freshness.confirm(11 + step, 1.0 + step / 8, age_s=0.0)
+        freshness.confirm(at(11 + step), 1.0 + step / 8, age_s=0.0)
     assert not freshness.must_ask_store(1.0 + BEHIND_MAX_S)
     assert freshness.must_ask_store(1.01 + BEHIND_MAX_S)
-    mirror.merge([], as_of=18)
-    freshness.confirm(18, 2.0)
+    mirror.merge([], as_of=at(18))
+    freshness.confirm(at(18), 2.0)
     assert freshness.must_ask_store(0.9 * FALLBACK_S)
-    freshness.confirm(18, 1.5 + FALLBACK_S)
+    freshness.confirm(at(18), 1.5 + FALLBACK_S)
     assert not freshness.must_ask_store(1.6 + FALLBACK_S)
 
 
@@ -64,17 +68,17 @@
 
 
 def test_negative_age_is_none(freshness):
-    freshness.confirm(10, 1.0, age_s=-5.0)
+    freshness.confirm(at(10), 1.0, age_s=-5.0)
     assert freshness.confirmed_at == 1.0
 
 
 def test_each_sign_of_a_mirror_that_is_behind_has_a_name(mirror, freshness):
     assert freshness.staleness(0.1) is Staleness.NONE
-    freshness.confirm(11, 0.1, age_s=inf)
+    freshness.confirm(at(11), 0.1, age_s=inf)
     assert freshness.staleness(0.2 + BEHIND_MAX_S) is Staleness.MISSING
-    mirror.merge([], as_of=11)
+    mirror.merge([], as_of=at(11))
     assert freshness.staleness(AGE_MAX_S + 0.1) is Staleness.UNCONFIRMED
-    freshness.note_answer(7, asked_at_revision=11)
+    freshness.note_answer(at(7), asked_at=at(11))
     assert freshness.staleness(0.2) is Staleness.AHEAD
-    freshness.note_answer(12, asked_at_revision=11)
+    freshness.note_answer(at(12), asked_at=at(11))
     assert freshness.staleness(0.2) is Staleness.NONE
--- a/kingcupvane/tests/test_platform_gateway.py
+++ b/kingcupvane/tests/test_platform_gateway.py
@@ -25,6 +25,7 @@
 )
 from kingcupvane.process.item import Item
 from kingcupvane.process.store import Conflict, HistoryCompacted, Listing
+from kingcupvane.process.store_era import StoreEra
 from kingcupvane.settings import GatewaySettings, PlatformStoreSettings
 from kingcupvane.tests.test_target_connection import (
     ScriptedTarget,
@@ -41,6 +42,7 @@
     def __init__(self):
         """Makes an empty store."""
         self.calls = {}
+        self.era = StoreEra()
         self.history = []
         self.items = {}
         self.revision = 1
--- a/kingcupvane/tests/test_registration.py
+++ b/kingcupvane/tests/test_registration.py
@@ -7,6 +7,7 @@
 from kingcupvane.errors import StoreError
 from kingcupvane.process.mirror import Mirror
 from kingcupvane.process.replication import GatewayRegistration
+from kingcupvane.process.store_era import StoreEra
 from kingcupvane.tests.fakes import TrioClock
 from kingcupvane.tests.test_peering import record
 
@@ -24,14 +25,19 @@
     Attributes:
         is_up: Whether calls are answered.
         has_lease: Whether the lease that was granted still lives.
+        grants: Number of leases that were granted.
+        era: Era of the store.
     """
 
     def __init__(self):
         """Starts up, without leases."""
         self.is_up = True
         self.has_lease = False
+        self.grants = 0
+        self.era = StoreEra()
 
     async def grant(self, ttl_s):
+        self.grants += self.is_up
         self.has_lease = self.is_up
         return Ok(7) if self.is_up else DOWN
 
@@ -96,3 +102,17 @@
         assert is_listed()
 
     run_registration(play)
+
+
+def test_gateway_registers_again_in_a_new_era_though_its_lease_number_lives():
+    """An older copy gives lease numbers out again, so a renewal may succeed."""
+
+    async def play(store, is_listed):
+        await trio.sleep(TTL_S)
+        assert store.grants == 1
+        store.era.hear(1)
+        await trio.sleep(TTL_S / 2)
+        assert store.grants == 2
+        assert is_listed()
+
+    run_registration(play)
--- a/kingcupvane/tests/test_usage_exchange.py
+++ b/kingcupvane/tests/test_usage_exchange.py
@@ -4,7 +4,7 @@
 import pytest
 
 from kingcupvane.connection.messages import GatewayRecord, UsageReport
-from kingcupvane.process.item import Item
+from kingcupvane.process.item import Item, Position
 from kingcupvane.process.mirror import Mirror
 from kingcupvane.process.peering import PeerTable
 from kingcupvane.process.true_time import TrueTime
@@ -66,9 +66,9 @@
 
     def set_holder(self, name, data_centre):
         holder = HolderRecord(name=name, data_centre=data_centre, incarnation=1)
-        revision = self.mirror.as_of + 1
+        revision = self.mirror.as_of.revision + 1
         item = Item(key=HOLDER_KEY, value=encode(holder), revision=revision)
-        self.mirror.merge([item], as_of=revision)
+        self.mirror.merge([item], as_of=Position(revision=revision))
 
     def tell(self, name, *, local=True):
         return self.exchange.report_to(f"{name}:90", local=local)
@@ -174,7 +174,7 @@
     window = parts.ledger.begin("a")
     value = encode(DutyRecord(token=1, next_window=window + 1))
     item = Item(key=RECORD_KEY, value=value, revision=9)
-    parts.mirror.merge([item], as_of=9)
+    parts.mirror.merge([item], as_of=Position(revision=9))
     parts.exchange.update()
     assert parts.ledger.counts(window) == {}
 
--- a/kingcupvane/tests/usage_fleet.py
+++ b/kingcupvane/tests/usage_fleet.py
@@ -15,7 +15,7 @@
 
 from kingcupvane.connection.messages import GatewayRecord
 from kingcupvane.errors import StoreError
-from kingcupvane.process.item import Item
+from kingcupvane.process.item import Item, Position
 from kingcupvane.process.metrics import GatewayMetrics
 from kingcupvane.process.mirror import Mirror
 from kingcupvane.process.store import Conflict
@@ -293,7 +293,9 @@
             if not (self.is_cut or self.is_frozen or store.is_down):
                 store.expire()
                 items = [item for item, _ in store.items.values()]
-                self.mirror.replace(items, as_of=store.revision)
+                self.mirror.replace(
+                    items, as_of=Position(revision=store.revision)
+                )
             await trio.sleep(MIRROR_PERIOD_S)
 
     async def _serve(self):
