--- a/kingcupvane/tests/test_platform_gateway.py
+++ b/kingcupvane/tests/test_platform_gateway.py
@@ -47,6 +47,7 @@
         self.items = {}
         self.revision = 1
         self.compacted_revision = 0
+        self.restored = 0
         self.down = False
 
     def put(self, key, value):
@@ -75,6 +76,7 @@
 
     def restore(self, saved):
         """Puts the store back to a copy; what came later is gone."""
+        self.restored += 1
         items, history, self.revision = saved
         self.items, self.history = dict(items), list(history)
 
@@ -245,6 +247,7 @@
     def __init__(self):
         """Makes the store and the target, and chooses the gateway's ports."""
         self.store = HistoryStore()
+        self.client = self.store
         self.settings = settings("g1", free_ports(5))
         self.target = ScriptedTarget(respond_with_account)
         self.http = httpcore.AsyncConnectionPool()
@@ -275,7 +278,7 @@
             await trio.sleep(0.02)
 
     async def _run_gateway(self):
-        await make_gateway(self.settings, self.store).run()
+        await make_gateway(self.settings, self.client).run()
         self.ended.set()
 
     def run_gateway(self, check):
