--- a/kingcupvane/process/replication.py
+++ b/kingcupvane/process/replication.py
@@ -234,6 +234,7 @@
                 self._failure_detail = "listing is older than the mirror"
                 return FetchOutcome.FAILED
             listing = listing.in_era(era)
+            self.freshness.note_answer(listing.position, asked_at=asked_at)
         self._replace(listing.items, as_of=listing.position)
         return FetchOutcome.CHANGED
 
