Freshness: a confirmation counts once, however many peers pass it on

Cause: a peer's age was believed without the time that its report was under way, and a report was sent again unchanged for 0.1 s, so ages that went round in a circle shrank with each hop. A report that waited for a frozen process, and an answer of the store that did, counted from when they were read.

Change: a confirmation has an origin (the process that heard it from the store) and a number; a receiver counts a number when it first hears of it, so its way is a path without circles and its age too small by the delays on that path at most. Its age is read anew for each report, also for a reused one. What is read after a hold-up counts from before it (LatenessMeter). An answer of the store counts for no later than the call's start plus its wait, a listing for its start. The age of gateways that send no confirmation counts only while they watch the store (up to their first failed call) and is not passed on.

test_freshness.py: the fixture names the origin; no assertion has changed.

--- a/kingcupvane/connection/messages.py
+++ b/kingcupvane/connection/messages.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from kingcupvane.process.confirmation import Confirmation
 from kingcupvane.process.item import Item
 from kingcupvane.request.announcements import TargetInstance
 from kingcupvane.request.crashes import SuspicionNotice
@@ -467,7 +468,10 @@
         as_of: Store revision of its mirror.
         era: Era of the store to which that revision belongs.
         confirmed_age_s: Time since the store is known to have held nothing
-            newer than that revision, in seconds.
+            newer than that revision, in seconds; for gateways that don't know
+            `confirmation`.
+        confirmation: Latest confirmation that the sender's mirror was complete;
+            left out if it knows none.
         feed: Where its mirror is updated from.
         use: Demand and admitted requests of its callers, by client account;
             like `demand`, `in_flight` and `loads`, it is sent only within the
@@ -495,6 +499,7 @@
     as_of: int
     era: int = 0
     confirmed_age_s: float = float("inf")
+    confirmation: Confirmation | msgspec.UnsetType = msgspec.UNSET
     feed: MirrorSource = MirrorSource.PEERS
     use: dict[str, AccountUsage] = {}
     demand: dict[str, float] = {}
@@ -532,7 +537,10 @@
         era: Era of the store to which that revision belongs.
         whole: Whether `items` is a complete listing.
         confirmed_age_s: Time since the store is known to have held nothing
-            newer than `as_of`, in seconds.
+            newer than `as_of`, in seconds; for gateways that don't know
+            `confirmation`.
+        confirmation: Latest confirmation that the sender's mirror was complete;
+            left out if it knows none.
     """
 
     items: list[Item]
@@ -540,6 +548,7 @@
     whole: bool
     era: int = 0
     confirmed_age_s: float = float("inf")
+    confirmation: Confirmation | msgspec.UnsetType = msgspec.UNSET
 
 
 Message = (
--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -234,6 +234,7 @@
             settings=settings.store,
             apply_items=self._apply_items,
             begin_era=self._catalog.begin_store_era,
+            held_up_s=lambda now: self._lateness.held_up_s(now),
             clock=self._clock,
             timeline=self._timeline,
         )
--- a/kingcupvane/process/lateness.py
+++ b/kingcupvane/process/lateness.py
@@ -36,12 +36,13 @@
         self._worst_s = 0.0
         self._logged_at = float("-inf")
         self._ticked_at = clock.now()
+        self._previous_tick_at = self._ticked_at
 
     def tick(self) -> None:
         """Observes this tick's lateness; logs the worst since the last log."""
         now = self._clock.now()
         late_s = max(0.0, now - self._ticked_at - TICK_PERIOD_S)
-        self._ticked_at = now
+        self._previous_tick_at, self._ticked_at = self._ticked_at, now
         self._observe(late_s)
         self._worst_s = max(self._worst_s, late_s)
         if (
@@ -54,6 +55,17 @@
         self._logged_at = now
         self._worst_s = 0.0
 
+    def held_up_s(self, now: float) -> float:
+        """Returns for how long the process may just have been held up.
+
+        What is read now may have arrived up to that much earlier, in seconds,
+        and two periods of the tick.
+
+        Args:
+            now: Monotonic seconds.
+        """
+        return max(0.0, now - self._previous_tick_at - 2 * TICK_PERIOD_S)
+
     async def run(self) -> None:
         """Ticks until cancelled."""
         while True:
--- a/kingcupvane/process/replication.py
+++ b/kingcupvane/process/replication.py
@@ -16,10 +16,12 @@
 from kingcupvane.clock import Clock
 from kingcupvane.connection.messages import (
     GatewayRecord,
+    GatewayReport,
     MirrorReply,
     MirrorRequest,
     MirrorSource,
 )
+from kingcupvane.process.confirmation import Confirmation, claimed_age_s
 from kingcupvane.process.freshness import MirrorFreshness, Staleness
 from kingcupvane.process.item import ABSENT_REVISION, Item, Position
 from kingcupvane.process.mirror import Mirror
@@ -58,6 +60,22 @@
     CHANGED = enum.auto()
 
 
+def answered_moment(
+    *, called_at: float, wait_s: float, read_at: float
+) -> float:
+    """Returns a moment for which an answer of the store holds.
+
+    An answer may have been under way for some time, so it is taken for no newer
+    than the end of the wait that the call asked for.
+
+    Args:
+        called_at: When the call was made, in monotonic seconds.
+        wait_s: Longest wait before the answer, in seconds.
+        read_at: When the answer was read, in monotonic seconds.
+    """
+    return max(called_at, min(called_at + wait_s, read_at))
+
+
 class StoreReplicator:
     """Keeps the mirror up to date; watches the store if chosen as watcher.
 
@@ -77,6 +95,7 @@
         settings: PlatformStoreSettings,
         apply_items: Callable[[list[Item]], None],
         begin_era: Callable[[], None],
+        held_up_s: Callable[[float], float],
         clock: Clock,
         timeline: Timeline,
     ):
@@ -90,6 +109,8 @@
             apply_items: Called with the items that changed.
             begin_era: Called before the first items of a later era of the
                 store are applied.
+            held_up_s: Returns for how long the process may just have been held
+                up at a monotonic time, in seconds.
             clock: Monotonic clock.
             timeline: Log of the store's loss and return.
         """
@@ -99,10 +120,18 @@
         self._settings = settings
         self._apply_items = apply_items
         self._begin_era = begin_era
+        self._held_up_s = held_up_s
         self._clock = clock
         self._timeline = timeline
         self.mirror_source = MirrorSource.LOST
-        self.freshness = MirrorFreshness(mirror=mirror, now=clock.now())
+        own = peers.own
+        self.freshness = MirrorFreshness(
+            mirror=mirror,
+            origin=f"{own.name}/{own.incarnation}",
+            now=clock.now(),
+        )
+        self._called_at = clock.now()
+        self._call_wait_s = 0.0
         self.confirmed_at = clock.now()
         self._retry_delay_s = RETRY_DELAY_MIN_S
         self._logged_staleness = Staleness.NONE
@@ -150,6 +179,8 @@
         After a failure the wait is a backoff; after changes or a listing it
         lets further changes collect for the next call. Otherwise there is none.
         """
+        self._called_at = self._clock.now()
+        self._call_wait_s = self._settings.watch_s
         outcome = await self._fetch_changes()
         if outcome is FetchOutcome.FAILED:
             self._mark_lost()
@@ -160,7 +191,12 @@
             return
         self._retry_delay_s = RETRY_DELAY_MIN_S
         self.confirmed_at = self._clock.now()
-        self.freshness.confirm(self._mirror.as_of, self.confirmed_at)
+        moment = answered_moment(
+            called_at=self._called_at,
+            wait_s=self._call_wait_s,
+            read_at=self._read_at(),
+        )
+        self.freshness.confirm_own(self._mirror.as_of, moment)
         if self.mirror_source is not MirrorSource.STORE:
             self.mirror_source = MirrorSource.STORE
             self._timeline.record(
@@ -222,6 +258,8 @@
 
     async def _fetch_all(self) -> FetchOutcome:
         asked_at = self._mirror.as_of
+        self._called_at = self._clock.now()
+        self._call_wait_s = 0.0
         reply = await self._store.scan(self._mirror.prefix)
         if isinstance(reply, Err):
             self._failure_detail = reply.err_value.detail
@@ -276,6 +314,35 @@
             age_s=round(self.freshness.age_s(now), 3),
         )
 
+    def _read_at(self) -> float:
+        """Returns since when what is read now may have been there, at worst."""
+        now = self._clock.now()
+        return now - self._held_up_s(now)
+
+    def latest_confirmation(self) -> Confirmation | msgspec.UnsetType:
+        """Returns the confirmation that reports pass on; unset if none."""
+        confirmation = self.freshness.confirmation(self._clock.now())
+        return msgspec.UNSET if confirmation is None else confirmation
+
+    def hear(self, message: GatewayReport | MirrorReply) -> None:
+        """Notes what a peer says of the store and of its mirror.
+
+        The age that a peer without `confirmation` claims counts only while it
+        watches the store itself, which it does up to its first failed call.
+        """
+        now = self._clock.now()
+        position = Position(message.era, message.as_of)
+        self.freshness.note_position(position, now)
+        if message.confirmation is not msgspec.UNSET:
+            self.freshness.hear(message.confirmation, self._read_at(), now)
+        elif (
+            isinstance(message, GatewayReport)
+            and message.feed is MirrorSource.STORE
+        ):
+            self.freshness.confirm(
+                position, self._read_at(), age_s=message.confirmed_age_s
+            )
+
     def changes_since(self, request: MirrorRequest) -> MirrorReply:
         """Returns the changes that a peer's mirror lacks.
 
@@ -286,12 +353,14 @@
         after = Position(request.era, request.after)
         changes = mirror.changes_since(after) if after > Position() else None
         whole = changes is None
+        confirmation = self.latest_confirmation()
         return MirrorReply(
             items=list(mirror.items()) if whole else changes,
             as_of=mirror.as_of.revision,
             era=mirror.as_of.era,
             whole=whole,
-            confirmed_age_s=self.freshness.age_s(self._clock.now()),
+            confirmed_age_s=claimed_age_s(confirmation),
+            confirmation=confirmation,
         )
 
     def apply_changes(self, reply: MirrorReply) -> None:
@@ -304,7 +373,7 @@
             self._replace(reply.items, as_of=as_of)
         else:
             self._apply_items(self._mirror.merge(reply.items, as_of=as_of))
-        self.freshness.confirm(as_of, now, age_s=reply.confirmed_age_s)
+        self.hear(reply)
 
 
 def _describe(position: Position) -> str:
--- a/kingcupvane/process/reporting.py
+++ b/kingcupvane/process/reporting.py
@@ -26,6 +26,7 @@
 )
 from kingcupvane.connection.peer import PeerClient
 from kingcupvane.process.catalog import Catalog
+from kingcupvane.process.confirmation import claimed_age_s
 from kingcupvane.process.crash_trials import CrashTrials
 from kingcupvane.process.evidence_collection import EvidenceCollector
 from kingcupvane.process.item import Position
@@ -213,8 +214,13 @@
         usage = msgspec.UNSET
         if self._usage is not None:
             usage = self._usage.report_to(address, local=local)
+        confirmation = self._replicator.latest_confirmation()
         return msgspec.structs.replace(
-            self._own_report(local=local), summaries=summaries, usage=usage
+            self._own_report(local=local),
+            summaries=summaries,
+            usage=usage,
+            confirmation=confirmation,
+            confirmed_age_s=claimed_age_s(confirmation),
         )
 
     def _own_report(self, *, local: bool) -> GatewayReport:
@@ -232,7 +238,6 @@
             ready=self._is_ready(),
             as_of=self._mirror.as_of.revision,
             era=self._mirror.as_of.era,
-            confirmed_age_s=self._replicator.freshness.age_s(now),
             feed=self._replicator.mirror_source,
             use=self._quota.usage_by_account(now) if local else {},
             demand=self._catalog.demand() if local else {},
@@ -346,9 +351,7 @@
         for checkpoint in report.checkpoints:
             self._receive_checkpoint(checkpoint, now)
         as_of = Position(report.era, report.as_of)
-        self._replicator.freshness.confirm(
-            as_of, now, age_s=report.confirmed_age_s
-        )
+        self._replicator.hear(report)
         if as_of > max(self._mirror.as_of, self._newest_mirror.as_of):
             self._newest_mirror.as_of = as_of
             self._newest_mirror.address = sender.peer_address
--- a/kingcupvane/tests/test_freshness.py
+++ b/kingcupvane/tests/test_freshness.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from kingcupvane.process.confirmation import Confirmation
 from kingcupvane.process.freshness import (
     AGE_MAX_S,
     BEHIND_MAX_S,
@@ -28,7 +29,7 @@
 
 @pytest.fixture
 def freshness(mirror):
-    return MirrorFreshness(mirror=mirror, now=0.0)
+    return MirrorFreshness(mirror=mirror, origin="g", now=0.0)
 
 
 def test_confirmation_of_the_own_or_an_older_revision_makes_it_fresh(freshness):
@@ -82,3 +83,40 @@
     assert freshness.staleness(0.2) is Staleness.AHEAD
     freshness.note_answer(at(12), asked_at=at(11))
     assert freshness.staleness(0.2) is Staleness.NONE
+
+
+def test_confirmation_counts_only_once(freshness):
+    heard = Confirmation(7, 3, at(10), 500)
+    freshness.hear(heard, 2.0, 2.0)
+    assert freshness.age_s(2.0) == 0.5
+    freshness.hear(heard, 3.0, 3.0)
+    freshness.hear(Confirmation(7, 2, at(10), 0), 3.0, 3.0)
+    assert freshness.age_s(3.0) == 1.5
+    assert freshness.confirmation(3.0) == Confirmation(7, 3, at(10), 1500)
+    freshness.hear(Confirmation(7, 4, at(10), 0), 3.0, 3.0)
+    assert freshness.age_s(3.0) == 0.0
+
+
+def test_own_confirmation_that_comes_back_counts_for_nothing(freshness):
+    freshness.confirm_own(at(10), 1.0)
+    own = freshness.confirmation(1.0)
+    freshness.hear(own, 2.0, 2.0)
+    assert freshness.age_s(2.0) == 1.0
+
+
+def test_confirmation_counts_once_the_mirror_has_got_there(mirror, freshness):
+    freshness.hear(Confirmation(7, 1, at(11), 0), 2.0, 2.0)
+    assert freshness.confirmation(2.0) is None
+    mirror.merge([], as_of=at(11))
+    assert freshness.confirmation(2.5) == Confirmation(7, 1, at(11), 500)
+    assert freshness.age_s(2.5) == 0.5
+
+
+def test_confirmation_of_an_earlier_era_counts_for_nothing(mirror, freshness):
+    mirror.replace([], as_of=at(5, era=1))
+    freshness.hear(Confirmation(7, 1, at(10), 0), 2.0, 2.0)
+    assert freshness.age_s(2.0) == 2.0
+    assert freshness.confirmation(2.0) is None
+    freshness.confirm_own(at(5, era=1), 2.0)
+    mirror.replace([], as_of=at(3, era=2))
+    assert freshness.confirmation(2.0) is None
--- a/kingcupvane/tests/test_lateness.py
+++ b/kingcupvane/tests/test_lateness.py
@@ -20,3 +20,24 @@
         ("process-behind", {"worst_ms": 200}),
         ("process-behind", {"worst_ms": 400}),
     ]
+
+
+def test_hold_up_is_known_before_and_after_the_next_tick(clock):
+    """What a frozen process reads first may be as old as its freeze."""
+    meter = LatenessMeter(
+        clock=clock,
+        observe=lambda late_s: None,
+        log_event=lambda kind, **fields: None,
+    )
+    for _ in range(5):
+        clock.advance(TICK_PERIOD_S)
+        meter.tick()
+        assert meter.held_up_s(clock.now()) == 0.0
+    clock.advance(5.0)
+    assert meter.held_up_s(clock.now()) == pytest.approx(5.0 - TICK_PERIOD_S)
+    meter.tick()
+    held_up_s = meter.held_up_s(clock.now())
+    assert held_up_s == pytest.approx(5.0 - 2 * TICK_PERIOD_S)
+    clock.advance(TICK_PERIOD_S)
+    meter.tick()
+    assert meter.held_up_s(clock.now()) == 0.0
