Store listing: continue where it was cut

Cause: PlatformStore.scan forgot the pages that it had read.

Change: the pages are kept in a PartialListing; the next scan goes on after the last of them. The position stays that of the first page, so that a watch repeats what changed since. It begins anew in another era, after 15 s, below the mirror's position (a first page asked for earlier must not count as a store that went back), and after a page that can't be right. A listing has an age, from its first page, and confirms the mirror only as of then. PlatformStore.scan loses its parameter 'stale', which nobody used. The proxy of the tests bears connections that are reset.

--- a/kingcupvane/platform/store.py
+++ b/kingcupvane/platform/store.py
@@ -20,7 +20,8 @@
     ResponseMemoryBudget,
 )
 from kingcupvane.errors import StoreError
-from kingcupvane.process.item import Position
+from kingcupvane.platform.partial_listing import PartialListing
+from kingcupvane.process.item import LOWEST, Position
 from kingcupvane.process.store import (
     ABSENT_REVISION,
     NOT_FOUND,
@@ -40,8 +41,6 @@
 SERVICE_UNAVAILABLE = 503
 SUCCESS_STATUS_MAX = 299
 ERA_HEADER = b"store-era"
-# Largest listing that is accepted, over all its pages.
-LISTING_MAX_BYTES = 64 * 1024 * 1024
 # Time that the reply to a watch may take beyond the watch's own wait.
 WATCH_TIMEOUT_MARGIN_S = 1.0
 MILLISECONDS_PER_SECOND = 1000
@@ -195,6 +194,7 @@
         self._address = address
         self._timeout_s = timeout_s
         self._connections = StoreConnections()
+        self._partial: PartialListing | None = None
         self.calls: dict[str, int] = {}
         self.era = StoreEra()
 
@@ -215,64 +215,53 @@
         return decoded.map(lambda wire: _to_item(wire, answer.era))
 
     async def scan(
-        self, prefix: str, *, stale: bool = False
+        self, prefix: str, *, at_least: Position = LOWEST
     ) -> Result[Listing, StoreError]:
         """Returns all items whose key starts with `prefix`.
 
         The listing's revision is that of the first page, so that a watch from
-        there repeats the changes made while later pages were read.
+        there repeats the changes made while later pages were read. A listing
+        of which a page had no answer is continued by the next call.
 
         Args:
             prefix: Prefix of the keys.
-            stale: Whether the listing may be seconds old, which costs the
-                store less.
+            at_least: Position below which a listing isn't continued, but begun
+                anew.
         """
-        items: list[Item] = []
-        position = Position()
-        size_bytes = 0
-        after = ""
+        partial = self._take_partial(prefix, at_least)
         while True:
             query = {"pathPrefix": prefix}
-            if after:
-                query["after"] = after
-            if stale:
-                query["serializable"] = "1"
+            if partial.after:
+                query["after"] = partial.after
             path = f"/kv-range?{urlencode(query)}"
             reply = await self._call("scan", "GET", path)
             if isinstance(reply, Err):
+                self._partial = partial
                 return reply
             answer = reply.ok_value
             decoded = self._decode("scan", answer.body, WireRange)
             if isinstance(decoded, Err):
                 return decoded
             page = decoded.ok_value
-            size_bytes += len(answer.body)
-            if size_bytes > LISTING_MAX_BYTES:
-                return self._fail(
-                    "scan",
-                    f"over {LISTING_MAX_BYTES} bytes",
-                    had_no_effect=True,
-                )
-            if not after:
-                position = Position(answer.era, page.asOf)
-            elif answer.era != position.era:
-                return self._fail(
-                    "scan", "the pages are of two eras", had_no_effect=True
-                )
-            items.extend(_to_item(item, answer.era) for item in page.items)
+            problem = partial.add(
+                [_to_item(item, answer.era) for item in page.items],
+                as_of=Position(answer.era, page.asOf),
+                size_bytes=len(answer.body),
+            )
+            if problem:
+                return self._fail("scan", problem, had_no_effect=True)
             if not page.morePages or not page.items:
-                return Ok(
-                    Listing(
-                        items=items,
-                        revision=position.revision,
-                        era=position.era,
-                    )
-                )
-            if page.items[-1].key <= after:
-                return self._fail(
-                    "scan", "the pages do not advance", had_no_effect=True
-                )
-            after = page.items[-1].key
+                return Ok(partial.complete(trio.current_time()))
+
+    def _take_partial(self, prefix: str, at_least: Position) -> PartialListing:
+        """Returns the kept part of a listing, or the beginning of a new one."""
+        now = trio.current_time()
+        kept, self._partial = self._partial, None
+        if kept is not None and kept.can_continue(
+            prefix, era=self.era.current, at_least=at_least, now=now
+        ):
+            return kept
+        return PartialListing(prefix=prefix, begun_at=now)
 
     async def compare_and_swap(
         self, key: str, value: str, *, expected: int, lease: int = 0
--- a/kingcupvane/process/item.py
+++ b/kingcupvane/process/item.py
@@ -21,6 +21,10 @@
     revision: int = 0
 
 
+# Position before the first change.
+LOWEST = Position()
+
+
 class Item(msgspec.Struct, frozen=True, kw_only=True):
     """One key of the store with its value.
 
--- a/kingcupvane/process/replication.py
+++ b/kingcupvane/process/replication.py
@@ -159,8 +159,6 @@
             )
             return
         self._retry_delay_s = RETRY_DELAY_MIN_S
-        self.confirmed_at = self._clock.now()
-        self.freshness.confirm(self._mirror.as_of, self.confirmed_at)
         if self.mirror_source is not MirrorSource.STORE:
             self.mirror_source = MirrorSource.STORE
             self._timeline.record(
@@ -216,13 +214,14 @@
         before = self._mirror.as_of
         changed = self._mirror.merge(listing.items, as_of=listing.position)
         self._apply_items(changed)
+        self._confirm(listing)
         if self._mirror.as_of > before:
             return FetchOutcome.CHANGED
         return FetchOutcome.UNCHANGED
 
     async def _fetch_all(self) -> FetchOutcome:
         asked_at = self._mirror.as_of
-        reply = await self._store.scan(self._mirror.prefix)
+        reply = await self._store.scan(self._mirror.prefix, at_least=asked_at)
         if isinstance(reply, Err):
             self._failure_detail = reply.err_value.detail
             return FetchOutcome.FAILED
@@ -235,8 +234,15 @@
                 return FetchOutcome.FAILED
             listing = listing.in_era(era)
         self._replace(listing.items, as_of=listing.position)
+        self._confirm(listing)
         return FetchOutcome.CHANGED
 
+    def _confirm(self, listing: Listing) -> None:
+        self.confirmed_at = self._clock.now()
+        self.freshness.confirm(
+            self._mirror.as_of, self.confirmed_at, age_s=listing.age_s
+        )
+
     def _replace(self, items: Iterable[Item], *, as_of: Position) -> None:
         """Replaces the mirror's items, also by those of a later era."""
         before = self._mirror.as_of
--- a/kingcupvane/process/store.py
+++ b/kingcupvane/process/store.py
@@ -21,8 +21,8 @@
 )
 from kingcupvane.errors import StoreError
 from kingcupvane.process.item import ABSENT_REVISION as ABSENT_REVISION
+from kingcupvane.process.item import LOWEST, Position
 from kingcupvane.process.item import Item as Item
-from kingcupvane.process.item import Position
 from kingcupvane.process.store_era import StoreEra
 
 # HTTP status codes of the store.
@@ -36,11 +36,20 @@
 
 
 class Listing(msgspec.Struct, frozen=True, kw_only=True):
-    """Items under a prefix, and the store's position when they were read."""
+    """Items under a prefix, and the store's position when they were read.
+
+    Attributes:
+        items: The items.
+        revision: Revision of the store.
+        era: Era of the store.
+        age_s: Time since the items were asked for, in seconds; 0 if it took
+            one call.
+    """
 
     items: list[Item]
     revision: int
     era: int = 0
+    age_s: float = 0.0
 
     @property
     def position(self) -> Position:
@@ -52,7 +61,7 @@
         if era == self.era:
             return self
         items = [msgspec.structs.replace(item, era=era) for item in self.items]
-        return Listing(items=items, revision=self.revision, era=era)
+        return msgspec.structs.replace(self, items=items, era=era)
 
 
 class VmRecord(msgspec.Struct, frozen=True, kw_only=True):
@@ -113,8 +122,16 @@
     async def get(self, key: str) -> Result[Item, StoreError]:
         """Returns the item; revision `ABSENT_REVISION` when there is none."""
 
-    async def scan(self, prefix: str) -> Result[Listing, StoreError]:
-        """Returns all items whose key starts with `prefix`."""
+    async def scan(
+        self, prefix: str, *, at_least: Position = LOWEST
+    ) -> Result[Listing, StoreError]:
+        """Returns all items whose key starts with `prefix`.
+
+        Args:
+            prefix: Start of the keys.
+            at_least: Position below which a listing that was cut is begun
+                anew; the store's own position may be lower.
+        """
 
     async def compare_and_swap(
         self, key: str, value: str, *, expected: int, lease: int = 0
@@ -185,8 +202,10 @@
         reply = await self._call("get", "GET", f"/v1/kv/{quote(key)}")
         return _decode(reply, Item)
 
-    async def scan(self, prefix: str) -> Result[Listing, StoreError]:
-        """Returns all items whose key starts with `prefix`."""
+    async def scan(
+        self, prefix: str, *, at_least: Position = LOWEST
+    ) -> Result[Listing, StoreError]:
+        """Returns all items whose key starts with `prefix`, in one call."""
         query = urlencode({"prefix": prefix})
         reply = await self._call("scan", "GET", f"/v1/list?{query}")
         return _decode(reply, Listing)
--- a/kingcupvane/tests/fakes.py
+++ b/kingcupvane/tests/fakes.py
@@ -6,6 +6,7 @@
 from result import Err, Ok, Result
 
 from kingcupvane.errors import StoreError
+from kingcupvane.process.item import LOWEST, Position
 from kingcupvane.process.store import Conflict, Item, Listing, VmRecord
 from kingcupvane.process.store_era import StoreEra
 from kingcupvane.standin.store import StoreState
@@ -68,7 +69,9 @@
             return self._store_error(may_have_taken_effect=False)
         return Ok(self.state.get(key))
 
-    async def scan(self, prefix: str) -> Result[Listing, StoreError]:
+    async def scan(
+        self, prefix: str, *, at_least: Position = LOWEST
+    ) -> Result[Listing, StoreError]:
         await self._start_call()
         items = self.state.list(prefix)
         return Ok(Listing(items=items, revision=self.state.revision))
--- a/kingcupvane/tests/silent_link.py
+++ b/kingcupvane/tests/silent_link.py
@@ -1,5 +1,7 @@
 """A TCP proxy that can make connections go silent."""
 
+import contextlib
+
 import trio
 
 
@@ -42,5 +44,7 @@
 
 
 async def copy(source, sink):
-    async for chunk in source:
-        await sink.send_all(chunk)
+    """Copies bytes until either side has closed or reset its connection."""
+    with contextlib.suppress(trio.BrokenResourceError):
+        async for chunk in source:
+            await sink.send_all(chunk)
--- a/kingcupvane/tests/test_platform_gateway.py
+++ b/kingcupvane/tests/test_platform_gateway.py
@@ -23,7 +23,7 @@
     STOP_IDLE_S,
     GatewayDaemon,
 )
-from kingcupvane.process.item import Item
+from kingcupvane.process.item import LOWEST, Item
 from kingcupvane.process.store import Conflict, HistoryCompacted, Listing
 from kingcupvane.process.store_era import StoreEra
 from kingcupvane.settings import GatewaySettings, PlatformStoreSettings
@@ -87,7 +87,7 @@
         await trio.lowlevel.checkpoint()
         return self.down
 
-    async def scan(self, prefix):
+    async def scan(self, prefix, *, at_least=LOWEST):
         if await self._call_fails("scan"):
             return self._error()
         return Ok(
