Store reads: ask for the missed changes before listing all

Cause: StoreReplicator knew one way back, a whole listing, after a failed watch, after a loss of the store and whenever it took over from peers.

Change: ReadChoice chooses the next read: a watch; after a failure or a loss the changes since the known position without a wait; a listing only with an empty mirror, in another era, where the history is gone, after a loss of a store that doesn't name its eras (as before), and after three watches in a row without an answer that can be used. What was chosen again and again in one call is now one step of the loop.

--- a/kingcupvane/process/replication.py
+++ b/kingcupvane/process/replication.py
@@ -24,6 +24,7 @@
 from kingcupvane.process.item import ABSENT_REVISION, Item, Position
 from kingcupvane.process.mirror import Mirror
 from kingcupvane.process.peering import PeerTable, store_watchers
+from kingcupvane.process.read_choice import Read, ReadChoice
 from kingcupvane.process.store import (
     Conflict,
     HistoryCompacted,
@@ -43,6 +44,9 @@
 # Delay after a failed call, in seconds; doubles with each failure in a row.
 RETRY_DELAY_MIN_S = 0.25
 RETRY_DELAY_MAX_S = 1.0
+# Longest wait at the store for changes when those that there are are wanted, in
+# seconds; the store is not sure to take 0.
+CATCH_UP_WAIT_S = 0.01
 # TTL of a gateway record's lease, as a multiple of the peers' contact timeout.
 LEASE_TTL_PER_CONTACT_TIMEOUT = 2.0
 # Number of renewals within one TTL.
@@ -54,6 +58,8 @@
     """What came of reading the store once."""
 
     FAILED = enum.auto()
+    # The store can't tell the changes since the mirror's position.
+    GONE = enum.auto()
     UNCHANGED = enum.auto()
     CHANGED = enum.auto()
 
@@ -104,6 +110,8 @@
         self.mirror_source = MirrorSource.LOST
         self.freshness = MirrorFreshness(mirror=mirror, now=clock.now())
         self.confirmed_at = clock.now()
+        self._reads = ReadChoice()
+        self._failure_detail = ""
         self._retry_delay_s = RETRY_DELAY_MIN_S
         self._logged_staleness = Staleness.NONE
 
@@ -150,14 +158,28 @@
         After a failure the wait is a backoff; after changes or a listing it
         lets further changes collect for the next call. Otherwise there is none.
         """
-        outcome = await self._fetch_changes()
+        read = self._reads.choose(
+            known=self._mirror.as_of,
+            is_following=self.mirror_source is MirrorSource.STORE,
+            era=self._store.era,
+        )
+        outcome = await self._fetch(read)
         if outcome is FetchOutcome.FAILED:
+            self._reads.note_failure(read)
+            if read is Read.WATCH:
+                self._timeline.record(
+                    "store-watch-cut", why=self._failure_detail
+                )
+                return
             self._mark_lost()
             await trio.sleep(self._retry_delay_s)
             self._retry_delay_s = min(
                 RETRY_DELAY_MAX_S, 2 * self._retry_delay_s
             )
             return
+        if outcome is FetchOutcome.GONE:
+            return
+        self._reads.note_success()
         self._retry_delay_s = RETRY_DELAY_MIN_S
         if self.mirror_source is not MirrorSource.STORE:
             self.mirror_source = MirrorSource.STORE
@@ -169,24 +191,24 @@
         if outcome is FetchOutcome.CHANGED:
             await trio.sleep(BATCH_DELAY_S)
 
-    async def _fetch_changes(self) -> FetchOutcome:
-        """Watches for changes.
+    async def _fetch(self, read: Read) -> FetchOutcome:
+        match read:
+            case Read.WATCH:
+                return await self._fetch_changes(self._settings.watch_s)
+            case Read.CATCH_UP:
+                return await self._fetch_changes(CATCH_UP_WAIT_S)
+            case Read.LISTING:
+                return await self._fetch_all()
+
+    async def _fetch_changes(self, wait_s: float) -> FetchOutcome:
+        """Asks for the changes since the mirror's position.
 
-        All items are read again when the mirror's source was not the store,
-        after a failed watch, and when the mirror and the store are not in the
-        same history.
+        Args:
+            wait_s: Longest wait for changes at the store, in seconds.
         """
-        mirror = self._mirror
-        asked_at = mirror.as_of
-        if (
-            self.mirror_source is not MirrorSource.STORE
-            or asked_at.era != self._store.era.current
-        ):
-            return await self._fetch_all()
+        asked_at = self._mirror.as_of
         reply = await self._store.watch(
-            mirror.prefix,
-            after=asked_at.revision,
-            wait_s=self._settings.watch_s,
+            self._mirror.prefix, after=asked_at.revision, wait_s=wait_s
         )
         match reply:
             case Ok(listing) if listing.position < asked_at:
@@ -204,8 +226,10 @@
                     "store-history-gone", after=asked_at.revision
                 )
             case Err(error):
-                self._timeline.record("store-watch-cut", why=error.detail)
-        return await self._fetch_all()
+                self._failure_detail = error.detail
+                return FetchOutcome.FAILED
+        self._reads.note_gone(asked_at)
+        return FetchOutcome.GONE
 
     def _apply_watched(
         self, listing: Listing, asked_at: Position
--- a/kingcupvane/process/store_era.py
+++ b/kingcupvane/process/store_era.py
@@ -16,12 +16,13 @@
 
     Attributes:
         current: The era, 0 at first.
+        is_named: Whether the store has named it in an answer.
     """
 
     def __init__(self):
         """Starts in era 0, not named by any answer."""
         self.current = 0
-        self._is_named = False
+        self.is_named = False
         self._logged_problems: set[str] = set()
 
     def hear(self, era: int) -> None:
@@ -49,7 +50,7 @@
 
     def _parse(self, named: str | None, *, asked_in: int) -> int:
         if named is None:
-            if self._is_named:
+            if self.is_named:
                 self._log_once("missing", "")
             return asked_in
         digits = named.strip()
@@ -63,7 +64,7 @@
         if era < asked_in:
             self._log_once("fell", named)
             return asked_in
-        self._is_named = True
+        self.is_named = True
         return era
 
     def begin_next(self, *, asked_in: int) -> int | None:
@@ -76,7 +77,7 @@
             The next era, or None if the store names its eras, so that its
             revisions can't go back within one, or if a later one is known.
         """
-        if self._is_named or asked_in < self.current:
+        if self.is_named or asked_in < self.current:
             return None
         self.current = asked_in + 1
         return self.current
--- a/kingcupvane/tests/test_platform_store_outages.py
+++ b/kingcupvane/tests/test_platform_store_outages.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from kingcupvane.connection.messages import MirrorSource
 from kingcupvane.process.item import Position
 from kingcupvane.tests.platform_paged_store import run_follower
 
@@ -84,3 +85,75 @@
         assert listing.position == known
 
     run_follower(check, item_count=3)
+
+
+async def start_following(follower, nursery):
+    """Starts the replicator; returns once it waits for changes."""
+    nursery.start_soon(follower.replicator.run)
+    while not follower.served.count("/kv-watch"):
+        await trio.sleep(0.01)
+
+
+def test_plan_arrives_without_a_listing_after_a_watch_was_cut():
+    """A failed watch was followed by a listing of all pages."""
+
+    async def check(follower, nursery):
+        served = follower.served
+        await start_following(follower, nursery)
+        pages = served.count("/kv-range")
+        served.delay_s = lambda call: 0.1
+        follower.link.silence()
+        lag_s = await follower.measure_lag("1", 10)
+        assert served.count("/kv-range") == pages
+        assert lag_s <= APPLY_MAX_S
+
+    run_follower(check, item_count=8)
+
+
+def test_plan_arrives_without_a_listing_after_the_store_was_lost():
+    """A store that answered again was listed, and each page could be lost."""
+
+    async def check(follower, nursery):
+        served = follower.served
+        await start_following(follower, nursery)
+        pages = served.count("/kv-range")
+        served.is_lost = lambda call: True
+        follower.link.silence()
+        while follower.replicator.mirror_source is not MirrorSource.LOST:
+            await trio.sleep(0.01)
+        served.is_lost = lambda call: False
+        lag_s = await follower.measure_lag("1", 10)
+        assert served.count("/kv-range") == pages
+        assert lag_s <= APPLY_MAX_S
+
+    run_follower(check, item_count=8)
+
+
+def test_plan_arrives_by_a_listing_if_no_watch_is_answered():
+    async def check(follower, nursery):
+        served = follower.served
+        await start_following(follower, nursery)
+        served.is_lost = lambda call: call[0] == "/kv-watch"
+        follower.link.silence()
+        assert await follower.measure_lag("1", 15) < 15
+
+    run_follower(check, item_count=3)
+
+
+def test_history_that_is_gone_is_listed_once():
+    async def check(follower, nursery):
+        served = follower.served
+        await start_following(follower, nursery)
+        pages = served.count("/kv-range")
+        served.is_lost = lambda call: True
+        follower.link.silence()
+        while follower.replicator.mirror_source is not MirrorSource.LOST:
+            await trio.sleep(0.01)
+        served.put("servers/new", "x")
+        served.compacted = served.revision
+        served.is_lost = lambda call: False
+        assert await follower.measure_lag("1", 10) < 10
+        await trio.sleep(1.0)
+        assert served.count("/kv-range") == pages + 5
+
+    run_follower(check, item_count=3)
