Store watch: repeat it when its answer is overdue

Cause: a silent watch was given up only a second after its own wait, and answers that came later than that were thrown away.

Change: 0.3 s after the end of its own wait a watch is repeated on a new connection without a wait; the first success of the two counts, and both may be answered until the same moment. A watch that fails in time isn't repeated here. The repetitions are counted as operation watch-again.

--- a/kingcupvane/platform/store.py
+++ b/kingcupvane/platform/store.py
@@ -5,6 +5,7 @@
 
 import base64
 import binascii
+import functools
 from dataclasses import dataclass
 from urllib.parse import quote, urlencode
 
@@ -20,6 +21,7 @@
     ResponseMemoryBudget,
 )
 from kingcupvane.errors import StoreError
+from kingcupvane.platform.hedge import first_success
 from kingcupvane.platform.partial_listing import PartialListing
 from kingcupvane.process.item import LOWEST, Position
 from kingcupvane.process.store import (
@@ -43,6 +45,9 @@
 ERA_HEADER = b"store-era"
 # Time that the reply to a watch may take beyond the watch's own wait.
 WATCH_TIMEOUT_MARGIN_S = 1.0
+# Time beyond the watch's own wait after which its answer counts as overdue, in
+# seconds; longer than an answer of a sound store takes.
+WATCH_SILENCE_S = 0.3
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -316,24 +321,35 @@
     ) -> Result[Listing, HistoryCompacted | StoreError]:
         """Returns changes under `prefix` after a revision, once there are any.
 
+        A watch whose answer is overdue is repeated on a new connection, without
+        a wait; its own answer still counts if it comes first.
+
         Args:
             prefix: Prefix of the keys.
             after: Revision after which changes are returned.
             wait_s: Time after which the reply may be empty, in seconds.
         """
-        query = urlencode(
-            {
-                "pathPrefix": prefix,
-                "after": after,
-                "waitMs": int(wait_s * MILLISECONDS_PER_SECOND),
-            },
-            quote_via=quote,
-        )
-        reply = await self._call(
-            "watch",
-            "GET",
-            f"/kv-watch?{query}",
-            timeout_s=wait_s + WATCH_TIMEOUT_MARGIN_S,
+        connections = self._connections
+        watch_path = functools.partial(_watch_path, prefix, after)
+
+        async def ask() -> Result[Answer, StoreError]:
+            # Both may be answered until the same moment.
+            timeout_s = wait_s + WATCH_SILENCE_S + WATCH_TIMEOUT_MARGIN_S
+            return await self._call(
+                "watch", "GET", watch_path(wait_s), timeout_s=timeout_s
+            )
+
+        async def ask_again() -> Result[Answer, StoreError]:
+            await self._replace(connections)
+            return await self._call(
+                "watch-again",
+                "GET",
+                watch_path(0.0),
+                timeout_s=WATCH_TIMEOUT_MARGIN_S,
+            )
+
+        reply = await first_success(
+            ask, ask_again, after_s=wait_s + WATCH_SILENCE_S
         )
         if isinstance(reply, Err):
             return reply
@@ -451,6 +467,15 @@
         )
 
 
+def _watch_path(prefix: str, after: int, wait_s: float) -> str:
+    query = {
+        "pathPrefix": prefix,
+        "after": after,
+        "waitMs": max(1, int(wait_s * MILLISECONDS_PER_SECOND)),
+    }
+    return f"/kv-watch?{urlencode(query, quote_via=quote)}"
+
+
 def _to_item(wire: WireItem, era: int) -> Item:
     return Item(
         key=wire.key,
--- a/kingcupvane/process/replication.py
+++ b/kingcupvane/process/replication.py
@@ -44,9 +44,6 @@
 # Delay after a failed call, in seconds; doubles with each failure in a row.
 RETRY_DELAY_MIN_S = 0.25
 RETRY_DELAY_MAX_S = 1.0
-# Longest wait at the store for changes when those that there are are wanted, in
-# seconds; the store is not sure to take 0.
-CATCH_UP_WAIT_S = 0.01
 # TTL of a gateway record's lease, as a multiple of the peers' contact timeout.
 LEASE_TTL_PER_CONTACT_TIMEOUT = 2.0
 # Number of renewals within one TTL.
@@ -196,7 +193,7 @@
             case Read.WATCH:
                 return await self._fetch_changes(self._settings.watch_s)
             case Read.CATCH_UP:
-                return await self._fetch_changes(CATCH_UP_WAIT_S)
+                return await self._fetch_changes(0.0)
             case Read.LISTING:
                 return await self._fetch_all()
 
@@ -204,7 +201,8 @@
         """Asks for the changes since the mirror's position.
 
         Args:
-            wait_s: Longest wait for changes at the store, in seconds.
+            wait_s: Longest wait for changes at the store, in seconds; 0 asks
+                for those that there are.
         """
         asked_at = self._mirror.as_of
         reply = await self._store.watch(
--- a/kingcupvane/tests/platform_paged_store.py
+++ b/kingcupvane/tests/platform_paged_store.py
@@ -12,7 +12,7 @@
 from kingcupvane.process.mirror import Mirror
 from kingcupvane.process.peering import PeerTable
 from kingcupvane.process.replication import StoreReplicator
-from kingcupvane.process.timeline import HybridClock, Timeline
+from kingcupvane.process.timeline import HybridClock, Stamp, Timeline
 from kingcupvane.settings import PlatformStoreSettings
 from kingcupvane.tests.fakes import TrioClock
 from kingcupvane.tests.silent_link import SilentLink
@@ -111,7 +111,6 @@
         served: The store behind the link.
         link: The link to it.
         mirror: The mirror.
-        events: Kinds of the events that were recorded.
     """
 
     def __init__(self, served):
@@ -156,6 +155,10 @@
         item = self.mirror.get(PLAN_KEY)
         return item.value if item is not None else None
 
+    def timeline_kinds(self):
+        """Returns the kinds of events that were recorded."""
+        return {event.kind for event in self.timeline.since(Stamp(0, 0))}
+
     async def measure_lag(self, text, limit_s):
         """Writes a plan; returns the time until the mirror has it, in seconds.
 
--- a/kingcupvane/tests/test_platform_store_outages.py
+++ b/kingcupvane/tests/test_platform_store_outages.py
@@ -9,6 +9,10 @@
 # Longest time from a plan's acknowledgement until it is in force, in seconds.
 APPLY_MAX_S = 2.5
 
+# Longest time after the end of a silent watch's own wait until it is bridged,
+# in seconds.
+SILENCE_MAX_S = 0.6
+
 
 def lose_each_second(path):
     """Returns a rule by which every second call of a path gets no answer."""
@@ -157,3 +161,30 @@
         assert served.count("/kv-range") == pages + 5
 
     run_follower(check, item_count=3)
+
+
+def test_plan_arrives_soon_after_the_connection_of_a_watch_went_silent():
+    """A silent watch was given up a second after its own wait."""
+
+    async def check(follower, nursery):
+        await start_following(follower, nursery)
+        settings = follower.settings
+        follower.link.silence()
+        lag_s = await follower.measure_lag("1", 10)
+        assert lag_s <= settings.watch_s + SILENCE_MAX_S
+        assert follower.timeline_kinds() == {"store-regained"}
+
+    run_follower(check, item_count=8)
+
+
+def test_calm_store_is_asked_once_for_each_watch():
+    async def check(follower, nursery):
+        await start_following(follower, nursery)
+        follower.served.delay_s = lambda call: 0.05
+        pages = follower.served.count("/kv-range")
+        await trio.sleep(4 * follower.settings.watch_s)
+        assert follower.served.count("/kv-watch") <= 5
+        assert follower.served.count("/kv-range") == pages
+        assert follower.store.calls.keys() == {"scan", "watch"}
+
+    run_follower(check, item_count=8)
