Store loss: known once a watch and its repetition were silent

Change: a watch that was silent beyond its own wait, so that its repetition had failed too, loses the store at once; one that was cut earlier is still followed by a call without a wait first.

--- a/kingcupvane/process/replication.py
+++ b/kingcupvane/process/replication.py
@@ -160,13 +160,12 @@
             is_following=self.mirror_source is MirrorSource.STORE,
             era=self._store.era,
         )
+        asked_at = self._clock.now()
         outcome = await self._fetch(read)
         if outcome is FetchOutcome.FAILED:
             self._reads.note_failure(read)
             if read is Read.WATCH:
-                self._timeline.record(
-                    "store-watch-cut", why=self._failure_detail
-                )
+                self._note_failed_watch(self._clock.now() - asked_at)
                 return
             self._mark_lost()
             await trio.sleep(self._retry_delay_s)
@@ -188,6 +187,12 @@
         if outcome is FetchOutcome.CHANGED:
             await trio.sleep(BATCH_DELAY_S)
 
+    def _note_failed_watch(self, duration_s: float) -> None:
+        """Logs the failure; one that was silent to the end loses the store."""
+        self._timeline.record("store-watch-cut", why=self._failure_detail)
+        if duration_s > self._settings.watch_s:
+            self._mark_lost()
+
     async def _fetch(self, read: Read) -> FetchOutcome:
         match read:
             case Read.WATCH:
--- a/kingcupvane/tests/test_platform_store_outages.py
+++ b/kingcupvane/tests/test_platform_store_outages.py
@@ -12,6 +12,8 @@
 # Longest time after the end of a silent watch's own wait until it is bridged,
 # in seconds.
 SILENCE_MAX_S = 0.6
+# Longest time until a silent store is known to be lost, in seconds.
+LOSS_MAX_S = 3.0
 
 
 def lose_each_second(path):
@@ -177,6 +179,22 @@
     run_follower(check, item_count=8)
 
 
+def test_silent_store_is_lost_once_a_watch_and_its_repetition_were_silent():
+    """Neighbours took over only after one more call had failed."""
+
+    async def check(follower, nursery):
+        await start_following(follower, nursery)
+        follower.served.is_lost = lambda call: True
+        follower.link.silence()
+        with trio.move_on_after(LOSS_MAX_S):
+            while follower.replicator.mirror_source is not MirrorSource.LOST:
+                await trio.sleep(0.01)
+        assert follower.replicator.mirror_source is MirrorSource.LOST
+        assert follower.served.count("/kv-watch") <= 3
+
+    run_follower(check, item_count=3)
+
+
 def test_calm_store_is_asked_once_for_each_watch():
     async def check(follower, nursery):
         await start_following(follower, nursery)
