--- a/kingcupvane/platform/store.py
+++ b/kingcupvane/platform/store.py
@@ -5,6 +5,7 @@
 
 import base64
 import binascii
+import functools
 from dataclasses import dataclass
 from urllib.parse import quote, urlencode
 
@@ -20,7 +21,9 @@
     ResponseMemoryBudget,
 )
 from kingcupvane.errors import StoreError
-from kingcupvane.process.item import Position
+from kingcupvane.platform.hedge import first_success
+from kingcupvane.platform.partial_listing import PartialListing
+from kingcupvane.process.item import LOWEST, Position
 from kingcupvane.process.store import (
     ABSENT_REVISION,
     NOT_FOUND,
@@ -40,10 +43,11 @@
 SERVICE_UNAVAILABLE = 503
 SUCCESS_STATUS_MAX = 299
 ERA_HEADER = b"store-era"
-# Largest listing that is accepted, over all its pages.
-LISTING_MAX_BYTES = 64 * 1024 * 1024
 # Time that the reply to a watch may take beyond the watch's own wait.
 WATCH_TIMEOUT_MARGIN_S = 1.0
+# Time beyond the watch's own wait after which its answer counts as overdue, in
+# seconds; longer than an answer of a sound store takes.
+WATCH_SILENCE_S = 0.3
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -195,6 +199,7 @@
         self._address = address
         self._timeout_s = timeout_s
         self._connections = StoreConnections()
+        self._partial: PartialListing | None = None
         self.calls: dict[str, int] = {}
         self.era = StoreEra()
 
@@ -215,64 +220,53 @@
         return decoded.map(lambda wire: _to_item(wire, answer.era))
 
     async def scan(
-        self, prefix: str, *, stale: bool = False
+        self, prefix: str, *, at_least: Position = LOWEST
     ) -> Result[Listing, StoreError]:
         """Returns all items whose key starts with `prefix`.
 
         The listing's revision is that of the first page, so that a watch from
-        there repeats the changes made while later pages were read.
+        there repeats the changes made while later pages were read. A listing
+        of which a page had no answer is continued by the next call.
 
         Args:
             prefix: Prefix of the keys.
-            stale: Whether the listing may be seconds old, which costs the
-                store less.
+            at_least: Position below which a listing isn't continued, but begun
+                anew.
         """
-        items: list[Item] = []
-        position = Position()
-        size_bytes = 0
-        after = ""
+        partial = self._take_partial(prefix, at_least)
         while True:
             query = {"pathPrefix": prefix}
-            if after:
-                query["after"] = after
-            if stale:
-                query["serializable"] = "1"
+            if partial.after:
+                query["after"] = partial.after
             path = f"/kv-range?{urlencode(query)}"
             reply = await self._call("scan", "GET", path)
             if isinstance(reply, Err):
+                self._partial = partial
                 return reply
             answer = reply.ok_value
             decoded = self._decode("scan", answer.body, WireRange)
             if isinstance(decoded, Err):
                 return decoded
             page = decoded.ok_value
-            size_bytes += len(answer.body)
-            if size_bytes > LISTING_MAX_BYTES:
-                return self._fail(
-                    "scan",
-                    f"over {LISTING_MAX_BYTES} bytes",
-                    had_no_effect=True,
-                )
-            if not after:
-                position = Position(answer.era, page.asOf)
-            elif answer.era != position.era:
-                return self._fail(
-                    "scan", "the pages are of two eras", had_no_effect=True
-                )
-            items.extend(_to_item(item, answer.era) for item in page.items)
+            problem = partial.add(
+                [_to_item(item, answer.era) for item in page.items],
+                as_of=Position(answer.era, page.asOf),
+                size_bytes=len(answer.body),
+            )
+            if problem:
+                return self._fail("scan", problem, had_no_effect=True)
             if not page.morePages or not page.items:
-                return Ok(
-                    Listing(
-                        items=items,
-                        revision=position.revision,
-                        era=position.era,
-                    )
-                )
-            if page.items[-1].key <= after:
-                return self._fail(
-                    "scan", "the pages do not advance", had_no_effect=True
-                )
-            after = page.items[-1].key
+                return Ok(partial.complete(trio.current_time()))
+
+    def _take_partial(self, prefix: str, at_least: Position) -> PartialListing:
+        """Returns the kept part of a listing, or the beginning of a new one."""
+        now = trio.current_time()
+        kept, self._partial = self._partial, None
+        if kept is not None and kept.can_continue(
+            prefix, era=self.era.current, at_least=at_least, now=now
+        ):
+            return kept
+        return PartialListing(prefix=prefix, begun_at=now)
 
     async def compare_and_swap(
         self, key: str, value: str, *, expected: int, lease: int = 0
@@ -327,24 +321,35 @@
     ) -> Result[Listing, HistoryCompacted | StoreError]:
         """Returns changes under `prefix` after a revision, once there are any.
 
+        A watch whose answer is overdue is repeated on a new connection, without
+        a wait; its own answer still counts if it comes first.
+
         Args:
             prefix: Prefix of the keys.
             after: Revision after which changes are returned.
             wait_s: Time after which the reply may be empty, in seconds.
         """
-        query = urlencode(
-            {
-                "pathPrefix": prefix,
-                "after": after,
-                "waitMs": int(wait_s * MILLISECONDS_PER_SECOND),
-            },
-            quote_via=quote,
-        )
-        reply = await self._call(
-            "watch",
-            "GET",
-            f"/kv-watch?{query}",
-            timeout_s=wait_s + WATCH_TIMEOUT_MARGIN_S,
+        connections = self._connections
+        watch_path = functools.partial(_watch_path, prefix, after)
+
+        async def ask() -> Result[Answer, StoreError]:
+            # Both may be answered until the same moment.
+            timeout_s = wait_s + WATCH_SILENCE_S + WATCH_TIMEOUT_MARGIN_S
+            return await self._call(
+                "watch", "GET", watch_path(wait_s), timeout_s=timeout_s
+            )
+
+        async def ask_again() -> Result[Answer, StoreError]:
+            await self._replace(connections)
+            return await self._call(
+                "watch-again",
+                "GET",
+                watch_path(0.0),
+                timeout_s=WATCH_TIMEOUT_MARGIN_S,
+            )
+
+        reply = await first_success(
+            ask, ask_again, after_s=wait_s + WATCH_SILENCE_S
         )
         if isinstance(reply, Err):
             return reply
@@ -462,6 +467,15 @@
         )
 
 
+def _watch_path(prefix: str, after: int, wait_s: float) -> str:
+    query = {
+        "pathPrefix": prefix,
+        "after": after,
+        "waitMs": max(1, int(wait_s * MILLISECONDS_PER_SECOND)),
+    }
+    return f"/kv-watch?{urlencode(query, quote_via=quote)}"
+
+
 def _to_item(wire: WireItem, era: int) -> Item:
     return Item(
         key=wire.key,
--- a/kingcupvane/process/replication.py
+++ b/kingcupvane/process/replication.py
@@ -26,6 +26,7 @@
 from kingcupvane.process.item import ABSENT_REVISION, Item, Position
 from kingcupvane.process.mirror import Mirror
 from kingcupvane.process.peering import PeerTable, store_watchers
+from kingcupvane.process.read_choice import Read, ReadChoice
 from kingcupvane.process.store import (
     Conflict,
     HistoryCompacted,
@@ -56,6 +57,8 @@
     """What came of reading the store once."""
 
     FAILED = enum.auto()
+    # The store can't tell the changes since the mirror's position.
+    GONE = enum.auto()
     UNCHANGED = enum.auto()
     CHANGED = enum.auto()
 
@@ -130,9 +133,9 @@
             origin=f"{own.name}/{own.incarnation}",
             now=clock.now(),
         )
-        self._called_at = clock.now()
-        self._call_wait_s = 0.0
         self.confirmed_at = clock.now()
+        self._reads = ReadChoice()
+        self._failure_detail = ""
         self._retry_delay_s = RETRY_DELAY_MIN_S
         self._logged_staleness = Staleness.NONE
 
@@ -176,27 +179,32 @@
     async def _update_once(self) -> None:
         """Updates the mirror from the store once, then waits.
 
-        After a failure the wait is a backoff; after changes or a listing it
-        lets further changes collect for the next call. Otherwise there is none.
+        After a failure the wait is a backoff; after changes, a listing or a
+        call without a wait it lets further changes collect for the next call.
+        Otherwise there is none.
         """
-        self._called_at = self._clock.now()
-        self._call_wait_s = self._settings.watch_s
-        outcome = await self._fetch_changes()
+        read = self._reads.choose(
+            known=self._mirror.as_of,
+            is_following=self.mirror_source is MirrorSource.STORE,
+            era=self._store.era,
+        )
+        asked_at = self._clock.now()
+        outcome = await self._fetch(read)
         if outcome is FetchOutcome.FAILED:
+            self._reads.note_failure(read)
+            if read is Read.WATCH:
+                self._note_failed_watch(self._clock.now() - asked_at)
+                return
             self._mark_lost()
             await trio.sleep(self._retry_delay_s)
             self._retry_delay_s = min(
                 RETRY_DELAY_MAX_S, 2 * self._retry_delay_s
             )
             return
+        if outcome is FetchOutcome.GONE:
+            return
+        self._reads.note_success()
         self._retry_delay_s = RETRY_DELAY_MIN_S
-        self.confirmed_at = self._clock.now()
-        moment = answered_moment(
-            called_at=self._called_at,
-            wait_s=self._call_wait_s,
-            read_at=self._read_at(),
-        )
-        self.freshness.confirm_own(self._mirror.as_of, moment)
         if self.mirror_source is not MirrorSource.STORE:
             self.mirror_source = MirrorSource.STORE
             self._timeline.record(
@@ -204,27 +212,35 @@
                 era=self._mirror.as_of.era,
                 as_of=self._mirror.as_of.revision,
             )
-        if outcome is FetchOutcome.CHANGED:
+        if outcome is FetchOutcome.CHANGED or read is Read.CATCH_UP:
             await trio.sleep(BATCH_DELAY_S)
 
-    async def _fetch_changes(self) -> FetchOutcome:
-        """Watches for changes.
+    def _note_failed_watch(self, duration_s: float) -> None:
+        """Logs the failure; one that was silent to the end loses the store."""
+        self._timeline.record("store-watch-cut", why=self._failure_detail)
+        if duration_s > self._settings.watch_s:
+            self._mark_lost()
+
+    async def _fetch(self, read: Read) -> FetchOutcome:
+        match read:
+            case Read.WATCH:
+                return await self._fetch_changes(self._settings.watch_s)
+            case Read.CATCH_UP:
+                return await self._fetch_changes(0.0)
+            case Read.LISTING:
+                return await self._fetch_all()
+
+    async def _fetch_changes(self, wait_s: float) -> FetchOutcome:
+        """Asks for the changes since the mirror's position.
 
-        All items are read again when the mirror's source was not the store,
-        after a failed watch, and when the mirror and the store are not in the
-        same history.
+        Args:
+            wait_s: Longest wait for changes at the store, in seconds; 0 asks
+                for those that there are.
         """
-        mirror = self._mirror
-        asked_at = mirror.as_of
-        if (
-            self.mirror_source is not MirrorSource.STORE
-            or asked_at.era != self._store.era.current
-        ):
-            return await self._fetch_all()
+        asked_at = self._mirror.as_of
+        called_at = self._clock.now()
         reply = await self._store.watch(
-            mirror.prefix,
-            after=asked_at.revision,
-            wait_s=self._settings.watch_s,
+            self._mirror.prefix, after=asked_at.revision, wait_s=wait_s
         )
         match reply:
             case Ok(listing) if listing.position < asked_at:
@@ -234,7 +250,9 @@
                     answered=listing.revision,
                 )
             case Ok(listing) if listing.era == asked_at.era:
-                return self._apply_watched(listing, asked_at)
+                outcome = self._apply_watched(listing, asked_at)
+                self._confirm(called_at=called_at, wait_s=wait_s)
+                return outcome
             case Ok(_):
                 pass
             case Err(HistoryCompacted()):
@@ -242,8 +260,10 @@
                     "store-history-gone", after=asked_at.revision
                 )
             case Err(error):
-                self._timeline.record("store-watch-cut", why=error.detail)
-        return await self._fetch_all()
+                self._failure_detail = error.detail
+                return FetchOutcome.FAILED
+        self._reads.note_gone(asked_at)
+        return FetchOutcome.GONE
 
     def _apply_watched(
         self, listing: Listing, asked_at: Position
@@ -258,9 +278,8 @@
 
     async def _fetch_all(self) -> FetchOutcome:
         asked_at = self._mirror.as_of
-        self._called_at = self._clock.now()
-        self._call_wait_s = 0.0
-        reply = await self._store.scan(self._mirror.prefix)
+        called_at = self._clock.now()
+        reply = await self._store.scan(self._mirror.prefix, at_least=asked_at)
         if isinstance(reply, Err):
             self._failure_detail = reply.err_value.detail
             return FetchOutcome.FAILED
@@ -274,8 +293,23 @@
             listing = listing.in_era(era)
             self.freshness.note_answer(listing.position, asked_at=asked_at)
         self._replace(listing.items, as_of=listing.position)
+        first_page_at = self._clock.now() - listing.age_s
+        self._confirm(called_at=min(called_at, first_page_at), wait_s=0.0)
         return FetchOutcome.CHANGED
 
+    def _confirm(self, *, called_at: float, wait_s: float) -> None:
+        """Notes that the store held nothing newer than the mirror.
+
+        Args:
+            called_at: When the call was made, in monotonic seconds.
+            wait_s: Longest wait before the answer, in seconds.
+        """
+        self.confirmed_at = self._clock.now()
+        moment = answered_moment(
+            called_at=called_at, wait_s=wait_s, read_at=self._read_at()
+        )
+        self.freshness.confirm_own(self._mirror.as_of, moment)
+
     def _replace(self, items: Iterable[Item], *, as_of: Position) -> None:
         """Replaces the mirror's items, also by those of a later era."""
         before = self._mirror.as_of
--- a/kingcupvane/tests/test_replication.py
+++ b/kingcupvane/tests/test_replication.py
@@ -47,7 +47,7 @@
         self.called_at = []
         self._clock = clock
 
-    async def scan(self, prefix):
+    async def scan(self, prefix, *, at_least):
         """Answers 0.3 s after the call."""
         self.called_at.append(self._clock.now())
         self._clock.advance(0.3)
