--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -391,6 +391,7 @@
             names=self._names,
             clock=self._clock,
             log_event=self._request_log.log_event,
+            count_refusal=self._request_log.count_refusal,
             bodies=self._memory.bodies,
             responses=self._memory.responses,
         )
@@ -514,6 +515,7 @@
                 self._reporter.remove_gateway(name)
                 self._timeline.record("gateway-forgotten", name=name)
             self._replicator.log_staleness(now)
+            self._request_log.log_refusals()
             if not self._is_store_watched(now):
                 self._catalog.mark_store_unreachable()
             self._catalog.remove_expired_targets()
--- a/kingcupvane/request/pipeline.py
+++ b/kingcupvane/request/pipeline.py
@@ -109,6 +109,7 @@
         names: WireNames,
         clock: Clock,
         log_event: Callable[..., None],
+        count_refusal: Callable[..., None] | None = None,
         bodies: BodyBudget | None = None,
         responses: ResponseMemoryBudget | None = None,
     ):
@@ -127,6 +128,8 @@
             clock: Monotonic clock.
             log_event: Logs an event; takes its kind, `low_priority` for
                 routine events, and its fields.
+            count_refusal: Counts a refusal of a request that the plan does not
+                resolve; takes its reason and the plan's number.
             bodies: Room for request bodies; ample by default.
             responses: Counts the responses on their way to callers.
         """
@@ -143,6 +146,7 @@
         self._names = names
         self._clock = clock
         self._log_event = log_event
+        self._count_refusal = count_refusal
         self._resolver = RequestResolver(
             catalog=catalog, names=names, clock=clock
         )
@@ -553,6 +557,10 @@
                 status=refusal.status,
                 plan=self._catalog.plan.number,
             )
+            if self._count_refusal is not None:
+                self._count_refusal(
+                    refusal.reason, plan=self._catalog.plan.number
+                )
         response = problem.to_response(refusal, whole_seconds=False)
         headers = [
             (b"content-type", response.content_type.encode()),
--- a/kingcupvane/tests/test_pipeline.py
+++ b/kingcupvane/tests/test_pipeline.py
@@ -188,6 +188,7 @@
         self.unanswered_exchanges = []
         self.evidence = EvidenceCounter()
         self.logged_events = []
+        self.refusals = []
         self.metrics = GatewayMetrics()
         self.quota = DistributedQuota(
             now=clock.now(), is_initial_deployment=True
@@ -248,6 +249,9 @@
             names=NAMES,
             clock=clock,
             log_event=self.log_event,
+            count_refusal=lambda reason, *, plan: self.refusals.append(
+                (reason, plan)
+            ),
         )
         for name in ("t0", "t1", "t2"):
             self.register(registered_target(name))
@@ -491,6 +495,7 @@
     )
     gateway.register(registered_target("w", service="writes"))
     assert gateway.send_request(path="/other/x")[0] == 404
+    assert gateway.refusals == [("no-route", gateway.plan.number)]
     assert gateway.send_request(path="/r/deep/x")[0] == 200
     assert gateway.pool.target_names == ["w"]
 
@@ -506,6 +511,7 @@
     assert b"authorization" not in sent_headers
     assert gateway.send_request(authorization="Token wrong")[0] == 401
     assert gateway.send_request()[0] == 401
+    assert gateway.refusals == [("unknown-key", gateway.plan.number)] * 2
 
 
 def test_withdrawn_key_is_refused_even_after_an_older_plan(make_gateway):
