Processes whose clock was set back: heard again, whatever their number

What callers saw: nothing was ever sent to such a gateway again. The number of a process is the wall time of its start. One that restarted after its clock was set back had a lower number than its process before, so its peers ignored its reports for good; its requests were left out of the sums of limits, and an entry's beats were older than those known.

Changed: one mechanism, ProcessHistory, used by the table of peers, the sums of admitted requests, the peers of a quota and the entries' membership. Numbers order two processes only while the known one is heard; after 1.5 s of silence (dead_after_s for entries) any other counts, and the number that it replaced does not return while it is heard. The last reports of four processes of a name are kept, so that no requests are counted twice. A list, of the store or a peer, no longer replaces the record of a gateway that is heard itself. Elsewhere (usage ledger, evidence, rollouts, allocations, true time) numbers are only compared for equality.

Tests changed: `UsageTotals.update` and `merge_remote` take the time, as 0.0 or the fleet's, in the tests that were there; what they expect is unchanged.

--- a/kingcupvane/process/gossip.py
+++ b/kingcupvane/process/gossip.py
@@ -185,7 +185,7 @@
 
     def _merge_membership(self, heartbeat: Heartbeat, now: float) -> None:
         if self.is_remote(heartbeat.sender):
-            self._membership.merge_remote(heartbeat.beats)
+            self._membership.merge_remote(heartbeat.beats, now)
             return
         self._membership.merge(heartbeat.beats, now)
         self._membership.merge_listed_leaving(heartbeat.leaving_vms, now)
--- a/kingcupvane/process/membership.py
+++ b/kingcupvane/process/membership.py
@@ -6,9 +6,9 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 
 from kingcupvane.connection.messages import MemberBeat
+from kingcupvane.process.process_history import ProcessHistory
 from kingcupvane.settings import HeartbeatSettings
 
 # State of a VM that is leaving, in the platform's VM list.
@@ -18,10 +18,7 @@
 LISTED_LEAVING_TTL_S = 5.0
 
 
-@dataclass(kw_only=True, slots=True)
-class _Member:
-    beat: MemberBeat
-    received_at: float
+BeatHistory = ProcessHistory[MemberBeat]
 
 
 class Membership:
@@ -43,11 +40,11 @@
         """
         self._settings = settings
         self._own = MemberBeat(name, incarnation, 0)
-        self._members_by_name: dict[str, _Member] = {}
+        self._members_by_name: dict[str, BeatHistory] = {}
         self._listed_leaving: frozenset[str] = frozenset()
         self._local_names: frozenset[str] | None = None
         self._peer_listed_at_by_name: dict[str, float] = {}
-        self._remote_beats_by_name: dict[str, MemberBeat] = {}
+        self._remote_members_by_name: dict[str, BeatHistory] = {}
 
     @property
     def leaving(self) -> bool:
@@ -68,7 +65,7 @@
 
     def beats(self) -> list[MemberBeat]:
         """Returns the latest beat of each local entry, the own one first."""
-        others = [m.beat for m in self._members_by_name.values()]
+        others = map(_latest_beat, self._members_by_name.values())
         return [self._own, *others]
 
     def merge(self, beats: Iterable[MemberBeat], now: float) -> None:
@@ -81,25 +78,36 @@
         for beat in beats:
             if beat.name == self._own.name or not self._is_local(beat.name):
                 continue
-            known = self._members_by_name.get(beat.name)
-            if known is None or _is_newer(beat, known.beat):
-                self._members_by_name[beat.name] = _Member(
-                    beat=beat, received_at=now
-                )
+            self._take(beat, self._members_by_name, now)
+
+    def _take(
+        self, beat: MemberBeat, members: dict[str, BeatHistory], now: float
+    ) -> None:
+        """Takes a beat unless it is of an earlier process or known already."""
+        history = members.get(beat.name)
+        if history is None:
+            history = BeatHistory(silence_s=self._settings.dead_after_s)
+            members[beat.name] = history
+        last = history.last(beat.incarnation)
+        if last is not None and not _is_newer(beat, last):
+            return
+        if history.accepts(beat.incarnation, now):
+            history.receive(beat.incarnation, beat, now)
 
     def _is_local(self, name: str) -> bool:
         return self._local_names is None or name in self._local_names
 
-    def merge_remote(self, beats: Iterable[MemberBeat]) -> None:
+    def merge_remote(self, beats: Iterable[MemberBeat], now: float) -> None:
         """Merges beats from a peer of another data centre.
 
         They show which of its entries are leaving or have restarted.
+
+        Args:
+            beats: The beats that the peer sent.
+            now: Monotonic seconds.
         """
-        remote_beats_by_name = self._remote_beats_by_name
         for beat in beats:
-            known = remote_beats_by_name.get(beat.name)
-            if known is None or _is_newer(beat, known):
-                remote_beats_by_name[beat.name] = beat
+            self._take(beat, self._remote_members_by_name, now)
 
     def remote_beats(self) -> list[MemberBeat]:
         """Returns the beats to send to peers of other data centres.
@@ -150,20 +158,20 @@
         member = self._members_by_name.get(name)
         if member is None:
             return False
-        return now - member.received_at < self._settings.dead_after_s
+        return member.is_heard(now)
 
     def is_leaving(self, name: str) -> bool:
         """Returns whether a beat or the VM list marks an entry as leaving."""
         listed = (
             name in self._listed_leaving or name in self._peer_listed_at_by_name
         )
-        remote = self._remote_beats_by_name.get(name)
-        if listed or (remote is not None and remote.leaving):
+        remote = self._remote_members_by_name.get(name)
+        if listed or (remote is not None and _latest_beat(remote).leaving):
             return True
         if name == self._own.name:
             return self._own.leaving
         member = self._members_by_name.get(name)
-        return member is not None and member.beat.leaving
+        return member is not None and _latest_beat(member).leaving
 
     def leaving_names(self) -> list[str]:
         """Returns the names of all entries known to be leaving, sorted."""
@@ -172,7 +180,7 @@
             *self._members_by_name,
             *self._listed_leaving,
             *self._peer_listed_at_by_name,
-            *self._remote_beats_by_name,
+            *self._remote_members_by_name,
         }
         return sorted(name for name in names if self.is_leaving(name))
 
@@ -189,7 +197,9 @@
         )
 
 
+def _latest_beat(history: BeatHistory) -> MemberBeat:
+    return history.last(history.incarnation)
+
+
 def _is_newer(beat: MemberBeat, known: MemberBeat) -> bool:
-    left = (beat.incarnation, beat.beat, beat.leaving)
-    right = (known.incarnation, known.beat, known.leaving)
-    return left > right
+    return (beat.beat, beat.leaving) > (known.beat, known.leaving)
--- a/kingcupvane/process/peering.py
+++ b/kingcupvane/process/peering.py
@@ -14,7 +14,7 @@
 """
 
 from collections.abc import Container, Iterable, Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from itertools import chain
 
 from kingcupvane.connection.messages import (
@@ -24,11 +24,15 @@
     MemberStatus,
     MirrorSource,
 )
+from kingcupvane.process.process_history import (
+    PROCESS_SILENCE_S,
+    ProcessHistory,
+)
 from kingcupvane.request.load_balancing import rendezvous_rank
 
 # Time without a report after which callers are no longer sent to a peer, in
 # seconds.
-LIVENESS_TIMEOUT_S = 1.5
+LIVENESS_TIMEOUT_S = PROCESS_SILENCE_S
 # Time without a summary after which callers are no longer sent to another data
 # centre, in seconds; longer than for a peer, since the hub that sends the
 # summaries may have to be replaced first.
@@ -60,7 +64,7 @@
     Attributes:
         record: Its latest record.
         report: Its last report; None before the first.
-        received_at: Monotonic time of that report, in seconds.
+        history: Its processes.
         listed_at: Monotonic time at which the store, a peer or its own report
             last named it, in seconds.
         is_unresponsive: The last message to it got no reply.
@@ -68,13 +72,18 @@
 
     record: GatewayRecord
     report: GatewayReport | None = None
-    received_at: float = float("-inf")
+    history: ProcessHistory[None] = field(default_factory=ProcessHistory)
     listed_at: float = float("-inf")
     is_unresponsive: bool = False
 
+    @property
+    def received_at(self) -> float:
+        """Monotonic time of its last report, in seconds."""
+        return self.history.heard_at
+
     def is_live(self, now: float) -> bool:
         """Returns whether its last report is recent enough."""
-        return now - self.received_at < LIVENESS_TIMEOUT_S
+        return self.history.is_heard(now)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -124,17 +133,20 @@
     def receive_report(self, report: GatewayReport, now: float) -> bool:
         """Stores a report; returns whether its sender has just become live.
 
-        A report of an earlier incarnation of its sender is ignored.
+        A report of an earlier process of its sender is ignored.
         """
         name = report.record.name
         if name == self.own.name:
             return False
         peer = self._upsert(report.record, now)
-        if report.record.incarnation < peer.record.incarnation:
+        incarnation = report.record.incarnation
+        if not peer.history.accepts(incarnation, now):
             return False
-        became_live = not peer.is_live(now)
+        same_process = peer.history.incarnation == incarnation
+        became_live = not (same_process and peer.is_live(now))
+        peer.record = report.record
         peer.report = report
-        peer.received_at = now
+        peer.history.receive(incarnation, None, now)
         peer.is_unresponsive = False
         for record in report.known:
             self.add_listed(record, now)
@@ -184,9 +196,13 @@
         if peer is None:
             peer = Peer(record=record)
             self._peers_by_name[record.name] = peer
-        elif record.incarnation > peer.record.incarnation:
+        elif (
+            record.incarnation > peer.record.incarnation
+            and not peer.is_live(now)
+            and not peer.history.knows(record.incarnation)
+        ):
+            # Its own reports tell more than a list, which may be old.
             peer.record = record
-            peer.received_at = float("-inf")
         peer.listed_at = now
         return peer
 
--- a/kingcupvane/process/reporting.py
+++ b/kingcupvane/process/reporting.py
@@ -290,7 +290,7 @@
         now = self._clock.now()
         own = self._own_report(local=True)
         self._usage_totals.update(
-            own.record.name, own.record.incarnation, own.use
+            own.record.name, own.record.incarnation, own.use, now=now
         )
         local = [
             peer.report
@@ -327,7 +327,7 @@
                 silence_timeout_s=self._local_silence_timeout_s(sender.name),
             )
             self._usage_totals.update(
-                sender.name, sender.incarnation, report.use
+                sender.name, sender.incarnation, report.use, now=now
             )
         for summary in report.summaries:
             self._receive_summary(summary, sender)
--- a/kingcupvane/process/summary.py
+++ b/kingcupvane/process/summary.py
@@ -9,19 +9,12 @@
     MemberStatus,
     Stamp,
 )
+from kingcupvane.process.process_history import ProcessHistory
 from kingcupvane.request.pace_state import merge_reports
 from kingcupvane.request.priority_load import add_loads
 from kingcupvane.request.rate_limit import AccountUsage
 
 
-@dataclass(kw_only=True, slots=True)
-class _GatewayUsage:
-    """The account usage that one gateway last reported."""
-
-    incarnation: int
-    usage_by_account: Mapping[str, AccountUsage]
-
-
 @dataclass(kw_only=True, slots=True)
 class UsageTotals:
     """Requests admitted by the gateways of a data centre, by account.
@@ -31,13 +24,17 @@
     """
 
     _admitted_by_account: dict[str, int] = field(default_factory=dict)
-    _usage_by_gateway: dict[str, _GatewayUsage] = field(default_factory=dict)
+    _history_by_gateway: dict[
+        str, ProcessHistory[Mapping[str, AccountUsage]]
+    ] = field(default_factory=dict)
 
     def update(
         self,
         name: str,
         incarnation: int,
         usage_by_account: Mapping[str, AccountUsage],
+        *,
+        now: float,
     ) -> None:
         """Adds what a gateway has admitted since its previous report.
 
@@ -48,20 +45,20 @@
             name: Name of the gateway.
             incarnation: Start time of its process, in Unix milliseconds.
             usage_by_account: Its usage, counted since that start.
+            now: Monotonic seconds.
         """
-        previous = self._usage_by_gateway.get(name)
-        if previous is not None and incarnation < previous.incarnation:
+        history = self._history_by_gateway.get(name)
+        if history is None:
+            history = ProcessHistory()
+            history.receive(incarnation, usage_by_account, now)
+            self._history_by_gateway[name] = history
             return
-        self._usage_by_gateway[name] = _GatewayUsage(
-            incarnation=incarnation, usage_by_account=usage_by_account
-        )
-        if previous is None:
+        if not history.accepts(incarnation, now):
             return
-        same_process = previous.incarnation == incarnation
+        previous = history.last(incarnation) or {}
+        history.receive(incarnation, usage_by_account, now)
         for account, usage in usage_by_account.items():
-            before = (
-                previous.usage_by_account.get(account) if same_process else None
-            )
+            before = previous.get(account)
             added = usage.admitted - (before.admitted if before else 0)
             if added > 0:
                 total = self._admitted_by_account.get(account, 0)
@@ -69,7 +66,7 @@
 
     def remove_gateway(self, name: str) -> None:
         """Removes a gateway that has left; its requests stay in the totals."""
-        self._usage_by_gateway.pop(name, None)
+        self._history_by_gateway.pop(name, None)
 
     def usage_by_account(
         self, reported: Iterable[Mapping[str, AccountUsage]]
--- a/kingcupvane/request/quota.py
+++ b/kingcupvane/request/quota.py
@@ -26,6 +26,7 @@
 from dataclasses import dataclass, field
 
 from kingcupvane.hashing import stable_hash
+from kingcupvane.process.process_history import ProcessHistory
 from kingcupvane.request.quota_peer import (
     Peer,
     PeerDemands,
@@ -188,10 +189,14 @@
         previous_peer = self._peers_by_name.get(peer)
         if previous_peer is None and not usage_by_account:
             return
-        if previous_peer is not None and previous_peer.is_newer_than(
-            source, incarnation
-        ):
+        history = ProcessHistory()
+        if previous_peer is not None and previous_peer.source == source:
+            history = previous_peer.history
+        if not history.accepts(incarnation, now):
             return
+        same_process = history.incarnation == incarnation
+        previous = history.last(incarnation) or {}
+        history.receive(incarnation, usage_by_account, now)
         self._add_demand(usage_by_account, sign=1)
         if previous_peer is not None:
             self._add_demand(previous_peer.usage_by_account, sign=-1)
@@ -200,14 +205,14 @@
                 peer,
                 usage_by_account,
                 source=source,
-                incarnation=incarnation,
+                history=history,
                 now=now,
             )
             return
         self._peers_by_name[peer] = Peer(
             received_at=now,
             source=source,
-            incarnation=incarnation,
+            history=history,
             silence_timeout_s=silence_timeout_s,
             gateway_count=gateway_count,
             usage_by_account=usage_by_account,
@@ -219,8 +224,6 @@
             if account is not None and name not in usage_by_account:
                 account.estimates_by_peer.pop(peer, None)
         # The counters of a restarted peer begin at 0.
-        same_process = previous_peer.incarnation == incarnation
-        previous = previous_peer.usage_by_account if same_process else {}
         since_s = (
             max(0.1, now - previous_peer.received_at) if same_process else 0.0
         )
@@ -249,7 +252,7 @@
         usage_by_account: Mapping[str, AccountUsage],
         *,
         source: str,
-        incarnation: int,
+        history: ProcessHistory[Mapping[str, AccountUsage]],
         now: float,
     ) -> None:
         """Applies a report whose counters are those of another gateway.
@@ -260,7 +263,7 @@
         peer = self._peers_by_name[name]
         peer.received_at = now
         peer.source = source
-        peer.incarnation = incarnation
+        peer.history = history
         peer.usage_by_account = usage_by_account
         peer.share_by_account = {}
         peer.demands = None
--- a/kingcupvane/request/quota_peer.py
+++ b/kingcupvane/request/quota_peer.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from kingcupvane.process.process_history import ProcessHistory
 from kingcupvane.request.rate_limit import AccountUsage
 
 
@@ -13,7 +14,7 @@
     Attributes:
         received_at: Time of the last report, in monotonic seconds.
         source: Name of the gateway whose counters the report contains.
-        incarnation: Start time of that gateway, in Unix milliseconds.
+        history: Processes of that gateway, with the usage that each reported.
         silence_timeout_s: Silence after which the peer counts as silent, in
             seconds.
         gateway_count: Number of gateways that it stands for.
@@ -27,17 +28,13 @@
 
     received_at: float
     source: str
-    incarnation: int
+    history: ProcessHistory[Mapping[str, AccountUsage]]
     silence_timeout_s: float
     gateway_count: int = 1
     usage_by_account: Mapping[str, AccountUsage] = field(default_factory=dict)
     share_by_account: dict[str, float] = field(default_factory=dict)
     demands: "PeerDemands | None" = None
 
-    def is_newer_than(self, source: str, incarnation: int) -> bool:
-        """Returns whether a report is of an earlier process of its source."""
-        return self.source == source and incarnation < self.incarnation
-
     def is_silent(self, now: float) -> bool:
         """Returns whether the peer's reports have stopped."""
         return now - self.received_at > self.silence_timeout_s
--- a/kingcupvane/tests/test_quota.py
+++ b/kingcupvane/tests/test_quota.py
@@ -158,7 +158,9 @@
             for j, receiver in enumerate(self.gateways):
                 if i // self.members != j // self.members:
                     continue
-                self.totals[j].update(str(i), self.incarnations[i], usage)
+                self.totals[j].update(
+                    str(i), self.incarnations[i], usage, now=self.now
+                )
                 if i == j:
                     continue
                 receiver.update_peer(
@@ -180,6 +182,7 @@
                 str(sender),
                 self.incarnations[sender],
                 self.gateways[sender].usage_by_account(self.now),
+                now=self.now,
             )
             usage = self.totals[sender].usage_by_account(
                 g.usage_by_account(self.now) for g in local_gateways
@@ -387,3 +390,29 @@
     fleet.is_connected = lambda sender, receiver: fleet.now >= silent_until
     fleet.send_requests(seed=9, demand=160, seconds=3)
     assert fleet.most_admitted_in_window() <= fleet.window_bound()
+
+
+def test_peer_with_a_lower_number_after_its_restart_takes_no_tokens():
+    """Its reports were ignored, so its requests were admitted over the rate."""
+    quota = DistributedQuota(now=0.0, is_initial_deployment=True)
+    plan = account(20)
+    quota.update_shares([plan], 0.0)
+
+    def report(incarnation, admitted, now):
+        quota.update_peer(
+            "b",
+            {"a": AccountUsage(1.0, admitted)},
+            source="b",
+            incarnation=incarnation,
+            now=now,
+        )
+
+    report(100, 1, 0.1)
+    report(50, 0, 2.0)
+    before = quota.tokens_by_account()["a"]
+    report(50, 8, 2.1)
+    after = quota.tokens_by_account()["a"]
+    assert before - after >= 6.0
+    report(100, 1, 2.1)
+    report(50, 8, 2.1)
+    assert quota.tokens_by_account()["a"] >= after - 0.5
--- a/kingcupvane/tests/test_summary.py
+++ b/kingcupvane/tests/test_summary.py
@@ -18,15 +18,15 @@
 
 def test_totals_continue_when_gateways_restart_or_are_removed():
     totals = UsageTotals()
-    totals.update("a", 1, acme_usage(5))
-    totals.update("b", 1, acme_usage(100))
-    totals.update("a", 1, acme_usage(9))
-    totals.update("b", 1, acme_usage(101))
+    totals.update("a", 1, acme_usage(5), now=0.0)
+    totals.update("b", 1, acme_usage(100), now=0.0)
+    totals.update("a", 1, acme_usage(9), now=0.0)
+    totals.update("b", 1, acme_usage(101), now=0.0)
     assert totals.usage_by_account([])["acme"].admitted == 5
-    totals.update("a", 2, acme_usage(3))
+    totals.update("a", 2, acme_usage(3), now=0.0)
     assert totals.usage_by_account([])["acme"].admitted == 8
     totals.remove_gateway("b")
-    totals.update("b", 2, acme_usage(50))
+    totals.update("b", 2, acme_usage(50), now=0.0)
     assert totals.usage_by_account([])["acme"].admitted == 8
 
 
@@ -84,7 +84,7 @@
     counters = dict.fromkeys("abc", 0)
     incarnations = dict.fromkeys("abc", 1)
     for name in "abc":
-        totals.update(name, 1, acme_usage(0))
+        totals.update(name, 1, acme_usage(0), now=0.0)
     expected = 0
     unreported = dict.fromkeys("abc", 0)
     for name, restarts, admitted, is_reported in steps:
@@ -94,7 +94,9 @@
         counters[name] += admitted
         unreported[name] += admitted
         if is_reported:
-            totals.update(name, incarnations[name], acme_usage(counters[name]))
+            totals.update(
+                name, incarnations[name], acme_usage(counters[name]), now=0.0
+            )
             expected += unreported[name]
             unreported[name] = 0
             usage = totals.usage_by_account([]).get(
@@ -106,7 +108,30 @@
 def test_late_report_of_an_earlier_process_is_not_counted():
     """It was counted whole, and the next report of the new one again."""
     totals = UsageTotals()
-    totals.update("a", 2, acme_usage(10))
-    totals.update("a", 1, acme_usage(100))
-    totals.update("a", 2, acme_usage(11))
+    totals.update("a", 2, acme_usage(10), now=0.0)
+    totals.update("a", 1, acme_usage(100), now=0.0)
+    totals.update("a", 2, acme_usage(11), now=0.0)
     assert totals.usage_by_account([])["acme"].admitted == 1
+
+
+def test_requests_of_a_process_with_a_lower_number_are_not_counted():
+    """After its clock was set back, all that it admitted was left out."""
+    totals = UsageTotals()
+    totals.update("a", 100, acme_usage(10), now=0.0)
+    totals.update("a", 100, acme_usage(15), now=0.2)
+    totals.update("a", 50, acme_usage(3), now=0.4)
+    assert totals.usage_by_account([])["acme"].admitted == 5
+    totals.update("a", 50, acme_usage(7), now=2.0)
+    totals.update("a", 100, acme_usage(15), now=2.1)
+    totals.update("a", 50, acme_usage(9), now=2.2)
+    assert totals.usage_by_account([])["acme"].admitted == 5 + 9
+
+
+def test_late_report_after_a_silence_is_counted_twice():
+    """What its process had reported before is known, so nothing is added."""
+    totals = UsageTotals()
+    totals.update("a", 100, acme_usage(10), now=0.0)
+    totals.update("a", 50, acme_usage(1), now=2.0)
+    totals.update("a", 100, acme_usage(10), now=4.0)
+    totals.update("a", 50, acme_usage(4), now=6.0)
+    assert totals.usage_by_account([])["acme"].admitted == 4
