Peer server: one message's failure or unread reply leaves the others served

What callers saw: nothing until the next second; a gateway whose handler raised for one message ended its whole server and was deaf to all peers until it was started again, 1 s later and as often as the message came. A reply to a peer that no longer reads held one of 8 workers for as long as the kernel kept the connection; eight of them made the gateway deaf.

Changed: a message's failure is logged (peer-message-failed, with the place) and counted by message and error (kingcupvane_peer_reply_failures). A connection that doesn't take a reply within 1 s, the longest that a peer waits, is closed: to cancel the send would leak the reply. At most four replies wait for one connection. The lines have the priority of requests, so that peers can't crowd out lines of state.

Failed before (the tests on the parent's code): the server ended with the handler's KeyError; after 32 unread requests another peer got no answer within 0.2 s.

--- a/kingcupvane/connection/peer.py
+++ b/kingcupvane/connection/peer.py
@@ -1,5 +1,6 @@
 """Messaging between daemons over pynng request and reply sockets."""
 
+import traceback
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -15,11 +16,15 @@
     FrameError,
     Message,
 )
+from kingcupvane.connection.peer_replies import PendingReplies
 from kingcupvane.errors import PeerError
+from kingcupvane.process.logs import PRIORITY_KEY, LinePriority
 from kingcupvane.process.timeline import HybridClock
 
 # Messages that a daemon handles concurrently.
 WORKER_COUNT = 8
+# Workers that may wait for one connection to take its replies.
+WAITING_REPLIES_MAX = WORKER_COUNT // 2
 MESSAGE_MAX_BYTES = 2 * 1024 * 1024
 # Upper bound of the backoff between reconnection attempts.
 RECONNECT_MAX_MS = 1000
@@ -78,7 +83,12 @@
 
 
 class PeerServer:
-    """Receives messages from other daemons and sends the replies."""
+    """Receives messages from other daemons and sends the replies.
+
+    Attributes:
+        failures: Number of messages that could not be replied to since the
+            start, by type of message and type of error.
+    """
 
     def __init__(
         self,
@@ -100,6 +110,9 @@
         self._codec = codec
         self._clock = clock
         self._handler = handler
+        self._replies = PendingReplies(waiting_max=WAITING_REPLIES_MAX)
+        self._logger = logger.bind(**{PRIORITY_KEY: LinePriority.NORMAL})
+        self.failures: Counter[tuple[str, str]] = Counter()
 
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -110,6 +123,7 @@
             socket.listen(f"tcp://{self._address}")
             task_status.started()
             async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._replies.close_stalled)
                 for _ in range(WORKER_COUNT):
                     nursery.start_soon(
                         self._serve_context, socket.new_context()
@@ -118,17 +132,46 @@
     async def _serve_context(self, context: pynng.Context) -> None:
         with context:
             while True:
-                frame = await context.arecv()
+                request = await context.arecv_msg()
                 try:
-                    envelope = self._codec.decode(frame)
+                    envelope = self._codec.decode(request.bytes)
                 except FrameError as error:
-                    logger.warning("event=peer-frame-refused why={!r}", error)
+                    self._logger.warning(
+                        "event=peer-frame-refused why={!r}", error
+                    )
                     continue
-                self._clock.receive(envelope.stamp)
-                reply = await self._handler(envelope.message)
-                if reply is not None:
-                    reply_envelope = Envelope(self._clock.tick(), reply)
-                    await context.asend(self._codec.encode(reply_envelope))
+                try:
+                    await self._answer(context, envelope, request.pipe)
+                except Exception as error:
+                    # Whatever one message causes, others must be served.
+                    self._note_failure(envelope.message, error)
+
+    async def _answer(
+        self,
+        context: pynng.Context,
+        envelope: Envelope,
+        pipe: pynng.Pipe | None,
+    ) -> None:
+        """Handles a message and sends the reply, if there is one."""
+        self._clock.receive(envelope.stamp)
+        reply = await self._handler(envelope.message)
+        if reply is None:
+            return
+        frame = self._codec.encode(Envelope(self._clock.tick(), reply))
+        with self._replies.waiting(pipe):
+            await context.asend(frame)
+
+    def _note_failure(self, message: Message, error: Exception) -> None:
+        step, detail = type(message).__name__, type(error).__name__
+        self.failures[step, detail] += 1
+        last_frame = traceback.extract_tb(error.__traceback__)[-1]
+        self._logger.error(
+            "event=peer-message-failed message={} why={!r} at={}:{}",
+            step,
+            repr(error),
+            last_frame.name,
+            last_frame.lineno,
+        )
 
 
 class PeerClient:
--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -314,6 +314,12 @@
             timeline=self._timeline,
             usage=self._usage and self._usage.exchange,
         )
+        self._peer_server = PeerServer(
+            address=self._peers.own.peer_address,
+            codec=self._codec,
+            clock=self._hybrid_clock,
+            handler=self._reporter.reply_to,
+        )
         self._rollout_task = RolloutTask(
             tracked_rollouts=self._tracked_rollouts,
             rollout_states=self._rollout_states,
@@ -418,7 +424,7 @@
                 ("rollouts", self._rollout_task.run),
                 ("suspicions", self._crash_verifier.run),
                 ("crash-trials", self._crash_trials.run),
-                ("peers", self._serve_peers),
+                ("peers", self._peer_server.run),
             ):
                 nursery.start_soon(supervise, name, task, self._timeline)
             if self._usage is not None:
@@ -496,15 +502,6 @@
         self._known_fleet.add_registered(update.name, record)
         self._peers.add_listed(record, now)
 
-    async def _serve_peers(self) -> None:
-        server = PeerServer(
-            address=self._peers.own.peer_address,
-            codec=self._codec,
-            clock=self._hybrid_clock,
-            handler=self._reporter.reply_to,
-        )
-        await server.run()
-
     async def _run_housekeeping(self) -> None:
         last_slow_housekeeping_at = 0.0
         while True:
@@ -615,6 +612,9 @@
         for (message, error), count in self._peer_client.failures.items():
             labels = {"message": message, "error": error}
             metrics.peer_failures.set(labels, count)
+        for (message, error), count in self._peer_server.failures.items():
+            labels = {"message": message, "error": error}
+            metrics.peer_reply_failures.set(labels, count)
         metrics.gateways.set({}, len(self._peers.live_names(now)))
         metrics.connections_opened.set({}, self._pool.opened)
         metrics.connections_accepted.set({}, self._caller_server_state.accepted)
--- a/kingcupvane/process/metrics.py
+++ b/kingcupvane/process/metrics.py
@@ -143,6 +143,10 @@
             "kingcupvane_peer_failures",
             "Messages to gateways without a reply, by message and error.",
         )
+        self.peer_reply_failures = self._gauge(
+            "kingcupvane_peer_reply_failures",
+            "Messages of gateways that got no reply, by message and error.",
+        )
         self.store_calls = self._gauge(
             "kingcupvane_store_calls", "Store calls since start by operation."
         )
--- a/kingcupvane/tests/test_peer.py
+++ b/kingcupvane/tests/test_peer.py
@@ -1,14 +1,28 @@
 """Tests of messages between daemons over real sockets."""
 
+import socket
+import struct
+from collections import Counter
+from contextlib import suppress
+
 import pytest
 import trio
 
 from kingcupvane.connection.messages import (
+    Envelope,
     FrameCodec,
     MirrorReply,
     MirrorRequest,
+    Stamp,
+)
+from kingcupvane.connection.peer import (
+    MESSAGE_MAX_BYTES,
+    WORKER_COUNT,
+    PeerClient,
+    PeerServer,
 )
-from kingcupvane.connection.peer import PeerClient, PeerServer
+from kingcupvane.connection.peer_replies import REPLY_TIMEOUT_S
+from kingcupvane.process.item import Item
 from kingcupvane.process.timeline import HybridClock
 from kingcupvane.tests.fakes import TrioClock
 from kingcupvane.tests.silent_link import SilentLink
@@ -34,6 +48,13 @@
         await trio.sleep(delay_s)
         return MirrorReply(items=[], as_of=request.after, whole=False)
 
+    server, port = await make_server(codec, reply)
+    await nursery.start(server.run)
+    return port
+
+
+async def make_server(codec, reply):
+    """Returns a server and its port."""
     (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
     port = listener.socket.getsockname()[1]
     await listener.aclose()
@@ -43,8 +64,7 @@
         clock=HybridClock(clock=TrioClock()),
         handler=reply,
     )
-    await nursery.start(server.run)
-    return port
+    return server, port
 
 
 def test_peer_behind_a_silent_connection_is_reached_over_a_new_one(codec):
@@ -101,3 +121,80 @@
         client.close()
 
     trio.run(main)
+
+
+def test_handler_that_raises_makes_the_server_deaf_to_all_peers(codec):
+    """The whole server ended, and was started again a second later."""
+
+    async def reply(request):
+        if request.after == 7:
+            raise KeyError("odd")
+        if request.after == 8:
+            return object()
+        return MirrorReply(items=[], as_of=request.after, whole=False)
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            server, port = await make_server(codec, reply)
+            await nursery.start(server.run)
+            odd, other = make_client(codec), make_client(codec)
+            for _ in range(WORKER_COUNT + 1):
+                assert (await ask(odd, port, after=7)).is_err()
+                assert (await ask(odd, port, after=8)).is_err()
+                assert (await ask(other, port, after=1)).is_ok()
+            errors = Counter(error for _, error in server.failures.elements())
+            assert errors["KeyError"] == WORKER_COUNT + 1
+            assert errors.total() == 2 * (WORKER_COUNT + 1)
+            odd.close()
+            other.close()
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+async def ask(client, port, *, after):
+    return await client.ask(f"127.0.0.1:{port}", MirrorRequest(after=after))
+
+
+async def open_unread_connection(port):
+    """Opens a connection of the request protocol that is never read."""
+    connection = trio.socket.socket()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    await connection.connect(("127.0.0.1", port))
+    await connection.send(b"\0SP\0\0\x30\0\0")
+    assert len(await connection.recv(8)) == 8
+    return trio.SocketStream(connection)
+
+
+def test_peer_that_never_reads_holds_all_workers(codec):
+    """Its replies waited for as long as the kernel kept the connection."""
+    item = Item(key="k", value="x" * (MESSAGE_MAX_BYTES // 2), revision=1)
+
+    async def reply(request):
+        items = [item] if request.after == 7 else []
+        return MirrorReply(items=items, as_of=request.after, whole=False)
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            server, port = await make_server(codec, reply)
+            await nursery.start(server.run)
+            other = make_client(codec)
+            assert (await ask(other, port, after=1)).is_ok()
+            unread = await open_unread_connection(port)
+            request = codec.encode(Envelope(Stamp(), MirrorRequest(after=7)))
+            for number in range(4 * WORKER_COUNT):
+                body = struct.pack(">I", 0x80000000 + number) + request
+                await unread.send_all(struct.pack(">Q", len(body)) + body)
+            await trio.sleep(TIMEOUT_S)
+            with trio.move_on_after(2 * REPLY_TIMEOUT_S):
+                while True:
+                    assert (await ask(other, port, after=1)).is_ok()
+                    await trio.sleep(TIMEOUT_S / 10)
+            assert server.failures["MirrorRequest", "PeerStalledError"]
+            with trio.fail_after(TIMEOUT_S), suppress(trio.BrokenResourceError):
+                while await unread.receive_some():
+                    pass
+            other.close()
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
