Stamps and clocks: ruled out by test; the tests' clock is no longer trio's

Asked: does a clock that was hours ahead hold anything back after it is corrected? Stamps are compared in two places: a summary is dropped unless its stamp is higher, and a reader of a time line asks for later events. Whoever holds a summary answers with a stamp at least as high, so one exchange of messages lifts the clock of its sender. Ruled out by test, with the clocks and tables of three gateways: a source whose clock is corrected, its restart, its successor as hub, and a restarted gateway that forwards. At most two summaries of a hop are dropped. Numbers of slot loans come from the wall clock, too: a lower one is dropped only while the loan lasts (10 s), which test_load_balancing.py holds.

CLOCK_BOOTTIME against trio's clock: in connection/ each time that is compared was taken of the same clock, and what passes from one to the other is a difference (read in the code). The tests' TrioClock hid a mix, since both began at the same second; its monotonic time now begins 500,000 s later, so that a mix fails. Two fleets of tests mixed them themselves (they failed) and now read one clock; what they expect is unchanged.

--- a/kingcupvane/tests/fakes.py
+++ b/kingcupvane/tests/fakes.py
@@ -10,15 +10,21 @@
 from kingcupvane.process.store_era import StoreEra
 from kingcupvane.standin.store import StoreState
 
+# Difference of the monotonic time from that of trio, in seconds.
+MONOTONIC_START_S = 500_000.0
 WALL_START_S = 1.7e9
 
 
 class TrioClock:
-    """Monotonic and wall clock that follow trio's clock, real or mocked."""
+    """Monotonic and wall clock that follow trio's clock, real or mocked.
+
+    As with the system's clocks, the monotonic time isn't trio's: what mixes
+    the two fails.
+    """
 
     def now(self) -> float:
         """Returns the monotonic time, in seconds."""
-        return trio.current_time()
+        return MONOTONIC_START_S + trio.current_time()
 
     def wall(self) -> float:
         """Returns the Unix time, in seconds."""
--- a/kingcupvane/tests/rollout_fleet.py
+++ b/kingcupvane/tests/rollout_fleet.py
@@ -50,6 +50,8 @@
 from kingcupvane.tests.fakes import MemoryStore, TrioClock
 from kingcupvane.version.plan import RolloutRecordState, RolloutSpec
 
+CLOCK = TrioClock()
+
 SERVICE = "s"
 SPEC_REVISION = 9
 EXPOSURE_SHARE_MAX = 0.1
@@ -99,7 +101,7 @@
             caller_address=f"{self.name}:80",
             peer_address=f"{self.name}:90",
         )
-        self.started_at = trio.current_time()
+        self.started_at = CLOCK.now()
         self.peers = PeerTable(own=self.record)
         self.evidence = EvidenceCounter()
         self.states = RolloutStates()
@@ -134,7 +136,7 @@
 
     def is_ready(self):
         """Returns whether it has heard of a peer and does not stop."""
-        now = trio.current_time()
+        now = CLOCK.now()
         recovered = now - self.started_at > 0.6 or not self.peers.is_alone(now)
         return recovered and not self.is_leaving
 
@@ -192,10 +194,10 @@
     async def _repeat(self, step, period_s):
         await trio.sleep(self.fleet.rng.random() * period_s)
         while True:
-            started_at = trio.current_time()
+            started_at = CLOCK.now()
             if not self.is_frozen:
                 await step()
-            left_s = started_at + period_s - trio.current_time()
+            left_s = started_at + period_s - CLOCK.now()
             await trio.sleep(max(ROUND_PAUSE_MIN_S, left_s))
 
     async def report(self):
@@ -210,7 +212,7 @@
 
     def receive(self, sender):
         """Applies what another gateway reports."""
-        now = trio.current_time()
+        now = CLOCK.now()
         self.peers.receive_report(
             GatewayReport(
                 record=sender.record, ready=sender.is_ready(), as_of=1
@@ -230,7 +232,7 @@
     async def serve(self):
         """Sends the requests of one period; counts their outcomes."""
         fleet = self.fleet
-        now = trio.current_time()
+        now = CLOCK.now()
         state = self.states.states_by_name.get(f"{SERVICE}/v2/{SPEC_REVISION}")
         record = self.catalog.rollout_records_by_service.get(SERVICE)
         share = rollout_shares(fleet.spec, record, state)[NEW_COHORT].share
@@ -362,19 +364,19 @@
         ended = None
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            self._began_at = trio.current_time()
+            self._began_at = CLOCK.now()
             for name in self.names:
                 self.start(name)
             for at_s, disturb in disruptions:
                 nursery.start_soon(self._disturb, at_s, disturb)
-            while trio.current_time() - self._began_at < 24.0:
+            while CLOCK.now() - self._began_at < 24.0:
                 await trio.sleep(0.05)
                 state = self.outcome()
                 if ended is None and state not in (
                     None,
                     RolloutRecordState.RUNNING,
                 ):
-                    ended = (state, trio.current_time() - self._began_at)
+                    ended = (state, CLOCK.now() - self._began_at)
             nursery.cancel_scope.cancel()
         return ended or (None, None)
 
--- a/kingcupvane/tests/test_crash_trials.py
+++ b/kingcupvane/tests/test_crash_trials.py
@@ -26,6 +26,8 @@
 from kingcupvane.tests.rollout_fleet import repeatable_scheduling
 from kingcupvane.tests.test_peering import record
 
+CLOCK = TrioClock()
+
 CONTACT_S = 3.0
 BACK_AFTER_S = 3.0
 WORK_S = 0.36
@@ -73,7 +75,7 @@
         """Exchanges reports with all others."""
         await trio.sleep(self.fleet.rng.random() * REPORT_PERIOD_S)
         while True:
-            now = trio.current_time()
+            now = CLOCK.now()
             for peer in self.fleet.by_name.values():
                 if peer is self or self.is_cut_off or peer.is_cut_off:
                     continue
@@ -89,9 +91,9 @@
 
     async def serve(self, fingerprint, *, crashes_targets):
         """Serves a request as the pipeline does; returns its status."""
-        deadline = trio.current_time() + DEADLINE_S
+        deadline = CLOCK.now() + DEADLINE_S
         for attempt in range(ATTEMPTS_MAX):
-            now = trio.current_time()
+            now = CLOCK.now()
             admission = await self.trials.admit(
                 fingerprint, give_up_at=now + (deadline - now) / 2
             )
@@ -109,7 +111,7 @@
     async def _attempt(self, fingerprint, crashes_targets):
         fleet = self.fleet
         target = fleet.pick_target()
-        started_at = trio.current_time()
+        started_at = CLOCK.now()
         fleet.arrivals.append((started_at, fingerprint))
         if crashes_targets:
             with trio.move_on_after(CRASH_AFTER_S):
@@ -118,13 +120,13 @@
         with trio.move_on_after(WORK_S):
             await fleet.death(target).wait()
         if fleet.is_up(target):
-            self.crashes.clear_suspicion(fingerprint, trio.current_time())
+            self.crashes.clear_suspicion(fingerprint, CLOCK.now())
             return True
         await trio.sleep(0.002)
         self.crashes.record_crash(
             fingerprint,
             started_at=started_at,
-            now=trio.current_time(),
+            now=CLOCK.now(),
             process=fleet.life(target),
         )
         return False
@@ -156,7 +158,7 @@
 
     def is_up(self, target):
         """Returns whether a target is up."""
-        return trio.current_time() >= self._back_at[target]
+        return CLOCK.now() >= self._back_at[target]
 
     def life(self, target):
         """Returns the name of a target's present or last process."""
@@ -170,7 +172,7 @@
         """Ends a target's process; it is back later."""
         if not self.is_up(target):
             return
-        now = trio.current_time()
+        now = CLOCK.now()
         self.crashed_at.append(now)
         self._back_at[target] = now + BACK_AFTER_S
         self._lives[target] += 1
@@ -252,7 +254,7 @@
         status = await fleet.gateway(number).serve(
             "lookup", crashes_targets=False
         )
-        statuses.append((trio.current_time(), status))
+        statuses.append((CLOCK.now(), status))
 
     async with trio.open_nursery() as nursery:
         for number in range(int(for_s / period_s)):
@@ -311,7 +313,7 @@
     fleet = SimulatedFleet(gateways=3, targets=4, seed=1)
 
     async def scenario(fleet):
-        now = trio.current_time()
+        now = CLOCK.now()
         for target in ("a", "b"):
             fleet.gateway(0).crashes.record_crash(
                 "p", started_at=now - 1.2, now=now - 1.0, process=target
@@ -343,7 +345,7 @@
     fleet = SimulatedFleet(gateways=4, targets=4, seed=1)
 
     async def scenario(fleet):
-        now = trio.current_time()
+        now = CLOCK.now()
         gateway = fleet.gateway(0)
         for target in ("a", "b"):
             gateway.crashes.record_crash(
@@ -353,7 +355,7 @@
             fleet.gateway(number).is_cut_off = True
         gateway.is_cut_off = True
         admission = await gateway.trials.admit("p", give_up_at=now + 1.0)
-        return admission, trio.current_time() - now
+        return admission, CLOCK.now() - now
 
     admission, waited_s = fleet.play(scenario)
     assert admission in (Admission.REFUSED, Admission.TRIAL)
--- a/kingcupvane/tests/test_peering.py
+++ b/kingcupvane/tests/test_peering.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from kingcupvane.clock import ManualClock
 from kingcupvane.connection.messages import (
     DataCentreSummary,
     GatewayRecord,
@@ -21,6 +22,7 @@
     lookup_addresses,
     store_watchers,
 )
+from kingcupvane.process.timeline import HybridClock
 
 
 def record(
@@ -291,3 +293,73 @@
     ]
     assert table.live_names(0.1) == ["a", "b", "r1", "r2"]
     assert not list(table.demands(0.1 + SUMMARY_TIMEOUT_S))
+
+
+HOURS_S = 3 * 3600.0
+
+
+class SummaryNode:
+    """A gateway's clock and table, as messages between gateways use them."""
+
+    def __init__(self, name, data_centre, *, ahead_s=0.0):
+        """Makes a node whose wall clock is some seconds ahead."""
+        self.record = record(name, data_centre=data_centre)
+        self.wall = ManualClock()
+        self.wall.wall_s += ahead_s
+        self.clock = HybridClock(clock=self.wall)
+        self.table = PeerTable(own=self.record)
+
+    def exchange(self, receiver, now, *, summary_of=None):
+        """Sends a summary and gets the reply; returns whether it was taken.
+
+        Args:
+            receiver: The other node.
+            now: Monotonic seconds.
+            summary_of: Data centre whose summary to forward; None for a new
+                one of the own data centre.
+        """
+        sent = msgspec.structs.replace(
+            summary(self.record.data_centre, self.record.name),
+            stamp=self.clock.tick(),
+        )
+        if summary_of is not None:
+            (sent,) = (
+                received.summary
+                for received in self.table.summaries(now)
+                if received.summary.data_centre == summary_of
+            )
+        receiver.clock.receive(self.clock.tick())
+        taken = receiver.table.receive_summary(sent, now, sender=self.record)
+        self.clock.receive(receiver.clock.tick())
+        return taken
+
+
+def test_summaries_are_held_back_after_a_clock_hours_ahead_is_corrected():
+    """Ruled out: one exchange of messages makes later stamps higher again."""
+    source = SummaryNode("b", "south-a", ahead_s=HOURS_S)
+    receiver = SummaryNode("a", "north-a")
+    assert source.exchange(receiver, 0.0)
+    source.wall.wall_s -= HOURS_S
+    assert source.exchange(receiver, 0.2)
+    restarted = SummaryNode("b", "south-a")
+    restarted.exchange(receiver, 0.4)
+    assert restarted.exchange(receiver, 0.6)
+    successor = SummaryNode("c", "south-a")
+    successor.exchange(receiver, 0.8)
+    assert successor.exchange(receiver, 0.6 + SUMMARY_STALE_AFTER_S)
+
+
+def test_summary_forwarded_by_a_restarted_gateway_is_held_back_for_hours():
+    """Ruled out: it has lost the higher stamps and learns them by messages."""
+    source = SummaryNode("b", "south-a", ahead_s=HOURS_S)
+    forwarder = SummaryNode("c", "west-a")
+    receiver = SummaryNode("a", "north-a")
+    assert source.exchange(forwarder, 0.0)
+    assert forwarder.exchange(receiver, 0.0, summary_of="south-a")
+    source = SummaryNode("b", "south-a")
+    forwarder = SummaryNode("c", "west-a")
+    assert source.exchange(forwarder, 0.2)
+    assert not forwarder.exchange(receiver, 0.2, summary_of="south-a")
+    assert source.exchange(forwarder, 0.4)
+    assert source.exchange(forwarder, 0.6)
+    assert forwarder.exchange(receiver, 0.6, summary_of="south-a")
