Time line: lines tell the own time while the stamps are ahead of it

Seen while clocks were checked: after one gateway's clock had been hours ahead, all lines of all gateways that it reached told one and the same millisecond until their own clocks had caught up; a record of such hours can't be laid beside the lines of requests, which have the own time.

Changed: while the stamp leads the own wall clock by a second or more, the line ends with own_ms, the time by the own clock. The order of the stamps is as it was.

--- a/kingcupvane/process/timeline.py
+++ b/kingcupvane/process/timeline.py
@@ -9,6 +9,10 @@
 from kingcupvane.clock import MILLISECONDS_PER_SECOND, Clock
 from kingcupvane.connection.messages import EventRecord, Stamp
 
+# Lead of the stamps over the own wall clock from which a line tells both, in
+# milliseconds.
+LEAD_TOLD_MS = 1000
+
 
 class HybridClock:
     """Hybrid logical clock: its stamps grow and order causes before effects."""
@@ -27,6 +31,11 @@
             self._latest = Stamp(self._latest.wall_ms, self._latest.counter + 1)
         return self._latest
 
+    def lead_ms(self) -> int:
+        """Returns how far the stamps are ahead of the own wall clock."""
+        wall_ms = int(self._clock.wall() * MILLISECONDS_PER_SECOND)
+        return max(0, self._latest.wall_ms - wall_ms)
+
     def receive(self, stamp: Stamp) -> None:
         """Advances the clock to a stamp received from a peer."""
         self._latest = max(self._latest, stamp)
@@ -63,7 +72,11 @@
         if len(self._events) == self._events.maxlen:
             self.dropped += 1
         self._events.append(event)
-        logger.info("{}", render_event(event))
+        line = render_event(event)
+        lead_ms = self._clock.lead_ms()
+        if lead_ms >= LEAD_TOLD_MS:
+            line += f" own_ms={event.stamp.wall_ms - lead_ms}"
+        logger.info("{}", line)
 
     def since(self, stamp: Stamp) -> list[EventRecord]:
         """Returns the events after `stamp`, oldest first."""
