Test: a whole gateway tells what it refused by the plan

The line refusals was tested on its own only. A gateway with a store in memory refuses three unknown keys and an unknown route; its lines must count all four, with plan, age, era and revision.

--- a/kingcupvane/tests/test_platform_gateway.py
+++ b/kingcupvane/tests/test_platform_gateway.py
@@ -9,6 +9,7 @@
 import httpcore
 import pytest
 import trio
+from loguru import logger
 from result import Err, Ok
 
 from kingcupvane.errors import StoreError
@@ -656,3 +657,37 @@
         await harness.ended.wait()
 
     harness.run_gateway(check)
+
+
+def test_refusals_by_the_plan_are_not_told_by_the_gateway(harness):
+    """A record held no line of the gateway that refused an added route."""
+    lines = []
+    handler = logger.add(lines.append, format="{message}")
+
+    async def check(harness):
+        harness.put_plan()
+        await harness.wait_until(harness.is_ready)
+        for _ in range(3):
+            assert (await harness.send_request(key="k2"))[0] == 401
+        assert (await harness.send_request(path="/x/1"))[0] == 404
+        told = []
+
+        async def all_are_told():
+            told[:] = [
+                line
+                for line in lines
+                if "event=refusals" in line and " plan=1 " in line
+            ]
+            counts = [int(line.split("count=")[1].split()[0]) for line in told]
+            return sum(counts) == 4
+
+        await harness.wait_until(all_are_told)
+        assert any("reason=unknown-key" in line for line in told)
+        assert any("reason=no-route" in line for line in told)
+        for line in told:
+            assert re.search(
+                r"plan=\d+ plan_age_s=\S+ era=\S+ revision=\d", line
+            )
+
+    harness.run_gateway(check)
+    logger.remove(handler)
