--- a/kingcupvane/tests/test_store_restored.py
+++ b/kingcupvane/tests/test_store_restored.py
@@ -38,8 +38,8 @@
     def __getattr__(self, name):
         return getattr(self._store, name)
 
-    async def scan(self, prefix):
-        return await self._read(self._store.scan(prefix))
+    async def scan(self, prefix, *, at_least):
+        return await self._read(self._store.scan(prefix, at_least=at_least))
 
     async def watch(self, prefix, *, after, wait_s):
         return await self._read(
