Memory: responses that their callers do not take give way

By reading of the limits, not by a run: clients that leave large responses unread made those of others fail for as long as 30 s and their size at 32 KiB a second allow.

Cause: responses of up to 256 KiB passed beyond the bound however many there were, nothing took a response's place back from a caller that does not read, and one on its way lay in memory twice, alone and joined with its head.

Change: a response on its way holds a place. At twice the bound the one of which nothing was taken for longest gives way, small responses of known length wait up to 1 s for room before their body is read, and a new connection may take the place of one that took nothing for 2 s. Parts of 64 KiB need no copy. The request has run by then: the connection is reset and nothing is promised. No caller within the limits meets it before responses hold a quarter of memory_mb.

--- a/kingcupvane/connection/inbound.py
+++ b/kingcupvane/connection/inbound.py
@@ -24,6 +24,7 @@
     MEBIBYTE,
     Account,
     BodyBudget,
+    ResponseMemoryBudget,
 )
 from kingcupvane.connection.round_limiter import RoundLimiter
 from kingcupvane.connection.target_connection import RECEIVE_CHUNK_BYTES, abort
@@ -103,6 +104,8 @@
         connections_max: Most open connections.
         memory: Memory of the connections and of what they have sent ahead.
         bodies: Room for request bodies; slow ones give way to new connections.
+        responses: Room for responses; those that callers do not take give way,
+            too.
     """
 
     stop: trio.Event = field(default_factory=trio.Event)
@@ -120,6 +123,7 @@
         default_factory=lambda: Account(max_bytes=DEFAULT_CONNECTIONS_BYTES)
     )
     bodies: BodyBudget | None = None
+    responses: ResponseMemoryBudget | None = None
 
     def free_places(self) -> int:
         """Returns how many more connections may be accepted now."""
@@ -131,7 +135,8 @@
         """Ends what can best be spared; returns whether there was anything.
 
         That is a head that stays incomplete, else the connection that has been
-        idle for longest, else a request whose body comes too slowly.
+        idle for longest, else a request whose body comes too slowly, else a
+        response that its caller does not take.
 
         Args:
             now: Monotonic time in seconds.
@@ -146,7 +151,9 @@
             del self.idle_scopes[scope]
             scope.cancel()
             return True
-        return self.bodies is not None and self.bodies.evict_latest(now)
+        if self.bodies is not None and self.bodies.evict_latest(now):
+            return True
+        return self.responses is not None and self.responses.evict_stalled(now)
 
 
 class InboundConnection:
--- a/kingcupvane/connection/memory_budget.py
+++ b/kingcupvane/connection/memory_budget.py
@@ -241,6 +241,25 @@
         lease.evict()
 
 
+@dataclass(kw_only=True, slots=True, eq=False)
+class SendingLease:
+    """The place of one response on its way to its caller.
+
+    Attributes:
+        evict: Called when the response loses its place.
+        size_bytes: Its size.
+        taken_at: Monotonic time at which the caller last took a part of it.
+    """
+
+    evict: Callable[[], None]
+    size_bytes: int
+    taken_at: float
+
+
+def _is_stalled(lease: SendingLease, now: float) -> bool:
+    return now - lease.taken_at >= STALL_MAX_S
+
+
 class ResponseMemoryBudget:
     """Accounts for the memory that responses use together.
 
@@ -248,6 +267,8 @@
         buffered_bytes: Bytes of incomplete responses.
         sending_bytes: Bytes of complete responses on their way to callers.
         max_bytes: Limit for all but small responses.
+        evictions: Number of responses that their callers did not take and that
+            have lost their place.
     """
 
     # Default limit of the memory for all responses together.
@@ -258,6 +279,8 @@
         self.buffered_bytes = 0
         self.sending_bytes = 0
         self.max_bytes = max_bytes
+        self.evictions = 0
+        self._leases: dict[SendingLease, None] = {}
 
     @property
     def used_bytes(self) -> int:
@@ -271,10 +294,80 @@
         failure of a response whose request has run costs more than the refusal
         of a body.
         """
-        return (
-            self.buffered_bytes > self.max_bytes
-            or self.used_bytes > 2 * self.max_bytes
-        )
+        return self.buffered_bytes > self.max_bytes or self._is_exceeded()
+
+    def open_sending(
+        self, size_bytes: int, *, now: float, evict: Callable[[], None]
+    ) -> SendingLease:
+        """Returns a place for a complete response on its way to its caller.
+
+        There is always one. Beyond the bound, the responses of which nothing
+        was taken for longest lose theirs.
+
+        Args:
+            size_bytes: Size of the response.
+            now: Monotonic time in seconds.
+            evict: Ends its sending and frees its memory.
+        """
+        lease = SendingLease(evict=evict, size_bytes=size_bytes, taken_at=now)
+        self._leases[lease] = None
+        self.sending_bytes += size_bytes
+        while self._is_exceeded():
+            oldest = next(iter(self._leases))
+            if oldest is lease:
+                break
+            self._evict(oldest)
+        return lease
+
+    def count_taken(self, lease: SendingLease, now: float) -> None:
+        """Counts a part that the caller has taken in favour of its response."""
+        lease.taken_at = now
+        if lease in self._leases:
+            # The order is that of the last parts.
+            del self._leases[lease]
+            self._leases[lease] = None
+
+    def close_sending(self, lease: SendingLease) -> None:
+        """Ends a response's place; may be called again."""
+        if lease in self._leases:
+            del self._leases[lease]
+            self.sending_bytes -= lease.size_bytes
+
+    def reserve(self, size_bytes: int, now: float, *, force: bool) -> bool:
+        """Sets room aside for an incomplete response; returns whether it did.
+
+        Args:
+            size_bytes: Size that the response announces.
+            now: Monotonic time in seconds.
+            force: Whether to take the room of responses that their callers have
+                not taken for a short time only, and to go beyond the bound
+                where that isn't enough.
+        """
+        while self.used_bytes + size_bytes > 2 * self.max_bytes:
+            oldest = next(iter(self._leases), None)
+            if oldest is None or not (force or _is_stalled(oldest, now)):
+                break
+            self._evict(oldest)
+        has_room = self.used_bytes + size_bytes <= 2 * self.max_bytes
+        if has_room or force:
+            self.buffered_bytes += size_bytes
+        return has_room or force
+
+    def evict_stalled(self, now: float) -> bool:
+        """Evicts the response that was not taken for longest, if for long."""
+        oldest = next(iter(self._leases), None)
+        if oldest is None or not _is_stalled(oldest, now):
+            return False
+        self._evict(oldest)
+        return True
+
+    def _is_exceeded(self) -> bool:
+        return self.used_bytes > 2 * self.max_bytes
+
+    def _evict(self, lease: SendingLease) -> None:
+        self.evictions += 1
+        self.close_sending(lease)
+        lease.evict()
 
 
 class MemoryBudget:
--- a/kingcupvane/connection/response_buffer.py
+++ b/kingcupvane/connection/response_buffer.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 
 import h11
+import trio
 
 from kingcupvane.connection.memory_budget import ResponseMemoryBudget
 
@@ -20,6 +21,9 @@
 UNCHECKED_CHUNKS_MAX = 1024
 CHUNK_MEAN_MIN_BYTES = 512
 INTERIM_RESPONSES_MAX = 16
+# Longest time that a small response of known length waits for room, in seconds.
+ROOM_WAIT_S = 1.0
+ROOM_POLL_S = 0.05
 # Chunks after which the reader yields to other tasks.
 CHUNKS_PER_YIELD = 64
 
@@ -31,8 +35,8 @@
     """
 
 
-def check_announced_size(headers: Iterable[tuple[bytes, bytes]]) -> None:
-    """Checks the length that a response announces.
+def check_announced_size(headers: Iterable[tuple[bytes, bytes]]) -> int:
+    """Checks the length that a response announces, and returns it.
 
     Args:
         headers: Header pairs; other than digits announces no length.
@@ -40,11 +44,14 @@
     Raises:
         AnswerTooLargeError: It exceeds the limit.
     """
+    announced = 0
     for name, value in headers:
         if name.lower() != b"content-length" or not value.isdigit():
             continue
-        if int(value) > RESPONSE_MAX_BYTES:
-            raise AnswerTooLargeError(f"{int(value)} bytes are announced")
+        announced = int(value)
+        if announced > RESPONSE_MAX_BYTES:
+            raise AnswerTooLargeError(f"{announced} bytes are announced")
+    return announced
 
 
 class PartialResponse:
@@ -63,6 +70,8 @@
         self._memory = memory
         self._chunks: list[bytes] = []
         self._size_bytes = 0
+        self._announced_bytes = 0
+        self._reserved_bytes = 0
         self._chunk_count = 0
         self._interim_count = 0
         self.response: h11.Response | None = None
@@ -79,7 +88,23 @@
             AnswerTooLargeError: Its Content-Length exceeds the limit.
         """
         self.response = response
-        check_announced_size(response.headers)
+        self._announced_bytes = check_announced_size(response.headers)
+
+    async def wait_for_room(self) -> None:
+        """Reserves room for a small response; waits for it for a short time.
+
+        Only its beginning has been read then; the rest is with the target.
+        """
+        size = self._announced_bytes
+        if not 0 < size <= SMALL_RESPONSE_BYTES:
+            return
+        give_up_at = trio.current_time() + ROOM_WAIT_S
+        while True:
+            now = trio.current_time()
+            if self._memory.reserve(size, now, force=now >= give_up_at):
+                self._reserved_bytes = size
+                return
+            await trio.sleep(ROOM_POLL_S)
 
     def count_interim(self) -> None:
         """Counts an interim (1xx) response.
@@ -99,20 +124,33 @@
         """
         self._chunks.append(data)
         self._size_bytes += len(data)
-        self._memory.buffered_bytes += len(data)
+        self._count()
         self._chunk_count += 1
         if self._size_bytes > RESPONSE_MAX_BYTES or self._is_fragmented():
             raise AnswerTooLargeError(
                 f"{self._size_bytes} bytes in {self._chunk_count} pieces"
             )
-        memory = self._memory
-        if memory.is_full() and self._size_bytes > SMALL_RESPONSE_BYTES:
-            raise AnswerTooLargeError(
-                f"{self._size_bytes} bytes while answers hold"
-                f" {memory.used_bytes}"
-            )
+        if self._size_bytes > SMALL_RESPONSE_BYTES:
+            self._check_room()
         return self._chunk_count % CHUNKS_PER_YIELD == 0
 
+    def _count(self) -> None:
+        """Counts what exceeds the reserved room."""
+        if self._size_bytes > self._reserved_bytes:
+            added = self._size_bytes - self._reserved_bytes
+            self._memory.buffered_bytes += added
+            self._reserved_bytes = self._size_bytes
+
+    def _check_room(self) -> None:
+        """Makes room at the cost of responses that callers do not take."""
+        memory = self._memory
+        while memory.is_full():
+            if not memory.evict_stalled(trio.current_time()):
+                raise AnswerTooLargeError(
+                    f"{self._size_bytes} bytes while answers hold"
+                    f" {memory.used_bytes}"
+                )
+
     def _is_fragmented(self) -> bool:
         """Returns whether the chunks are too many and too small."""
         return (
@@ -122,6 +160,7 @@
 
     def close(self) -> None:
         """Releases the memory of the response."""
-        self._memory.buffered_bytes -= self._size_bytes
+        self._memory.buffered_bytes -= self._reserved_bytes
+        self._reserved_bytes = 0
         self._size_bytes = 0
         self._chunks.clear()
--- a/kingcupvane/connection/target_connection.py
+++ b/kingcupvane/connection/target_connection.py
@@ -228,6 +228,7 @@
             elif isinstance(event, h11.Response):
                 check_final_status(event.status_code)
                 partial.set_head(event)
+                await partial.wait_for_room()
             elif isinstance(event, h11.Data):
                 if partial.add(bytes(event.data)):
                     await trio.lowlevel.checkpoint()
--- a/kingcupvane/process/gateway.py
+++ b/kingcupvane/process/gateway.py
@@ -146,6 +146,7 @@
             connections_max=settings.connections_allowed,
             memory=self._memory.connections,
             bodies=self._memory.bodies,
+            responses=self._memory.responses,
         )
         self._decoder = decoder
         self._clock = clock or SystemClock()
@@ -618,6 +619,7 @@
         metrics.connections_accepted.set({}, self._caller_server_state.accepted)
         metrics.connections_open.set({}, self._caller_server_state.open_count)
         metrics.body_evictions.set({}, self._memory.bodies.evictions)
+        metrics.response_evictions.set({}, self._memory.responses.evictions)
         for use, size_bytes in self._memory.used_by_use().items():
             metrics.memory_used_bytes.set({"use": use}, size_bytes)
         for use, size_bytes in self._memory.max_by_use().items():
--- a/kingcupvane/process/metrics.py
+++ b/kingcupvane/process/metrics.py
@@ -217,6 +217,11 @@
             "Request bodies given up since start: too slow while room was"
             " short.",
         )
+        self.response_evictions = self._gauge(
+            "kingcupvane_response_evictions",
+            "Responses given up since start: not taken by their callers while"
+            " room was short.",
+        )
         self.log_lines_left_out = self._gauge(
             "kingcupvane_log_lines_left_out", "Log lines left out since start."
         )
--- a/kingcupvane/request/pipeline.py
+++ b/kingcupvane/request/pipeline.py
@@ -15,6 +15,7 @@
 
 from kingcupvane import asgi, problem
 from kingcupvane.clock import MILLISECONDS_PER_SECOND, Clock
+from kingcupvane.connection.held_response import HeldResponse, parts_of
 from kingcupvane.connection.memory_budget import (
     BodyBudget,
     ResponseMemoryBudget,
@@ -518,11 +519,24 @@
         ]
         headers.append((b"content-length", str(len(response.body)).encode()))
         self._record_outcome(gateway_request, "answered", status)
-        self._responses.sending_bytes += len(response.body)
-        try:
-            await self._send_to_caller(status, headers, response.body, send)
-        finally:
-            self._responses.sending_bytes -= len(response.body)
+        await self._send_held(status, headers, response.body, send)
+
+    async def _send_held(
+        self,
+        status: int,
+        headers: list[tuple[bytes, bytes]],
+        body: bytes,
+        send: asgi.Send,
+    ) -> None:
+        """Sends a target's response while it has its place in the memory.
+
+        A caller that does not take it may lose it, and its connection.
+        """
+        held = HeldResponse(memory=self._responses, size_bytes=len(body))
+        with held:
+            await self._send_to_caller(status, headers, body, held.wrap(send))
+        if held.is_evicted:
+            self._log_event("response-not-taken", size_bytes=len(body))
 
     async def _send_refusal(
         self,
@@ -628,4 +642,7 @@
                 "headers": headers,
             }
         )
-        await send({"type": "http.response.body", "body": body})
+        for part, more in parts_of(body):
+            await send(
+                {"type": "http.response.body", "body": part, "more_body": more}
+            )
--- a/kingcupvane/tests/test_memory_budget.py
+++ b/kingcupvane/tests/test_memory_budget.py
@@ -1,5 +1,7 @@
 """Tests of the memory budget, without I/O and in any order of events."""
 
+from dataclasses import dataclass, field
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -11,6 +13,7 @@
     rule,
 )
 
+from kingcupvane.connection.inbound import ServerState
 from kingcupvane.connection.memory_budget import (
     LEAST_RATE_BYTES_PER_S,
     MEBIBYTE,
@@ -203,3 +206,89 @@
     assert not responses.is_full()
     responses.buffered_bytes = 101
     assert responses.is_full()
+
+
+@dataclass
+class Sendings:
+    """Responses on their way to callers, as the budget sees them."""
+
+    budget: ResponseMemoryBudget = field(
+        default_factory=lambda: ResponseMemoryBudget(max_bytes=100)
+    )
+    live: dict = field(default_factory=dict)
+
+    def open(self, size_bytes, now):
+        def evict():
+            del self.live[lease]
+
+        lease = self.budget.open_sending(size_bytes, now=now, evict=evict)
+        self.live[lease] = size_bytes
+        return lease
+
+    def close(self, lease):
+        self.budget.close_sending(lease)
+        self.live.pop(lease, None)
+
+
+# Small responses passed beyond the bound, however many callers took none.
+@given(
+    steps=st.lists(
+        st.tuples(st.integers(0, 2), st.integers(0, 150), st.integers(0, 50)),
+        max_size=60,
+    )
+)
+def test_responses_that_nobody_takes_stay_within_the_bound(steps):
+    sendings = Sendings()
+    budget = sendings.budget
+    leases = []
+    for now, (step, size, which) in enumerate(steps):
+        if step == 0 or not leases:
+            leases.append(sendings.open(size, now))
+        elif step == 1:
+            budget.count_taken(leases[which % len(leases)], now)
+        else:
+            sendings.close(leases[which % len(leases)])
+        assert budget.sending_bytes == sum(sendings.live.values())
+        assert budget.sending_bytes <= 2 * budget.max_bytes
+
+
+def test_the_response_that_waits_longest_gives_way_to_a_new_one():
+    sendings = Sendings()
+    first, second = sendings.open(90, 0.0), sendings.open(90, 1.0)
+    sendings.budget.count_taken(first, 2.0)
+    third = sendings.open(90, 3.0)
+    assert set(sendings.live) == {first, third}
+    assert sendings.budget.evictions == 1
+    assert second not in sendings.live
+
+
+def test_a_response_to_be_read_takes_the_room_of_those_that_stall():
+    sendings = Sendings()
+    budget = sendings.budget
+    sendings.open(150, 0.0)
+    assert not budget.reserve(100, STALL_MAX_S / 2, force=False)
+    assert budget.used_bytes == 150
+    assert budget.reserve(100, STALL_MAX_S, force=False)
+    assert budget.used_bytes == 100
+    sendings.open(100, STALL_MAX_S)
+    assert budget.reserve(50, STALL_MAX_S, force=True)
+    assert budget.used_bytes == 150
+    assert budget.reserve(100, STALL_MAX_S, force=True)
+    assert budget.used_bytes == 250
+
+
+def test_only_a_response_that_stalls_gives_way_to_a_connection():
+    sendings = Sendings()
+    sendings.open(10, 0.0)
+    assert not sendings.budget.evict_stalled(STALL_MAX_S / 2)
+    assert sendings.budget.evict_stalled(STALL_MAX_S)
+    assert not sendings.live
+    assert not sendings.budget.evict_stalled(2 * STALL_MAX_S)
+
+
+def test_unread_responses_do_not_keep_new_connections_out():
+    sendings = Sendings()
+    state = ServerState(connections_max=1, responses=sendings.budget)
+    sendings.open(10, 0.0)
+    assert not state.make_place(STALL_MAX_S / 2)
+    assert state.make_place(STALL_MAX_S)
