Entries: responses that their callers do not take give way, too

Cause: the same as at the gateway; besides, an entry did not count a complete response at all while it was on its way.

Change: a response keeps its place in the budget of the process until its caller has it, under the gateway's rules. The bound is an eighth of buffered_max_bytes, at least 4 MiB: 32 MiB by default, as before.

The test's first two crowds passed before the change because the entry sends a new target few requests at once and refused the others; the crowd asks in series therefore.

--- a/kingcupvane/connection/response_buffer.py
+++ b/kingcupvane/connection/response_buffer.py
@@ -35,23 +35,29 @@
     """
 
 
-def check_announced_size(headers: Iterable[tuple[bytes, bytes]]) -> int:
-    """Checks the length that a response announces, and returns it.
+def announced_bytes(headers: Iterable[tuple[bytes, bytes]]) -> int:
+    """Returns the length that a response announces; 0 if it is not known.
 
     Args:
         headers: Header pairs; other than digits announces no length.
+    """
+    lengths = [
+        int(value)
+        for name, value in headers
+        if name.lower() == b"content-length" and value.isdigit()
+    ]
+    return max(lengths, default=0)
+
+
+def check_announced_size(headers: Iterable[tuple[bytes, bytes]]) -> None:
+    """Checks the length that a response announces.
 
     Raises:
         AnswerTooLargeError: It exceeds the limit.
     """
-    announced = 0
-    for name, value in headers:
-        if name.lower() != b"content-length" or not value.isdigit():
-            continue
-        announced = int(value)
-        if announced > RESPONSE_MAX_BYTES:
-            raise AnswerTooLargeError(f"{announced} bytes are announced")
-    return announced
+    size = announced_bytes(headers)
+    if size > RESPONSE_MAX_BYTES:
+        raise AnswerTooLargeError(f"{size} bytes are announced")
 
 
 class PartialResponse:
@@ -70,7 +76,6 @@
         self._memory = memory
         self._chunks: list[bytes] = []
         self._size_bytes = 0
-        self._announced_bytes = 0
         self._reserved_bytes = 0
         self._chunk_count = 0
         self._interim_count = 0
@@ -88,14 +93,16 @@
             AnswerTooLargeError: Its Content-Length exceeds the limit.
         """
         self.response = response
-        self._announced_bytes = check_announced_size(response.headers)
+        check_announced_size(response.headers)
 
-    async def wait_for_room(self) -> None:
+    async def wait_for_room(self, size: int) -> None:
         """Reserves room for a small response; waits for it for a short time.
 
         Only its beginning has been read then; the rest is with the target.
+
+        Args:
+            size: Announced length of the body in bytes; 0 if it is not known.
         """
-        size = self._announced_bytes
         if not 0 < size <= SMALL_RESPONSE_BYTES:
             return
         give_up_at = trio.current_time() + ROOM_WAIT_S
--- a/kingcupvane/connection/target_client.py
+++ b/kingcupvane/connection/target_client.py
@@ -21,6 +21,7 @@
     AnswerTooLargeError,
     PartialResponse,
     ResponseMemoryBudget,
+    announced_bytes,
     check_announced_size,
 )
 from kingcupvane.connection.response_status import (
@@ -145,15 +146,21 @@
     A pool limits the connections to its address; it keeps none of them.
     """
 
-    def __init__(self, *, whole_max_bytes: int):
+    def __init__(
+        self,
+        *,
+        whole_max_bytes: int,
+        memory: ResponseMemoryBudget | None = None,
+    ):
         """Makes a client.
 
         Args:
             whole_max_bytes: Largest response body that is buffered; larger ones
                 are streamed.
+            memory: Budget of the process for responses; one of its own if None.
         """
         self._whole_max_bytes = whole_max_bytes
-        self._memory = ResponseMemoryBudget()
+        self._memory = memory or ResponseMemoryBudget()
         self._connector = ResetDetectingConnector()
         self._pools_by_address: dict[str, httpcore.AsyncConnectionPool] = {}
 
@@ -239,6 +246,7 @@
         try:
             if sink is None:
                 check_announced_size(response.headers)
+            await partial.wait_for_room(announced_bytes(response.headers))
             size = 0
             chunks = response.aiter_stream()
             async for chunk in chunks:
--- a/kingcupvane/connection/target_connection.py
+++ b/kingcupvane/connection/target_connection.py
@@ -23,6 +23,7 @@
     AnswerTooLargeError,
     PartialResponse,
     ResponseMemoryBudget,
+    announced_bytes,
 )
 from kingcupvane.connection.response_status import (
     InvalidStatusError,
@@ -228,7 +229,7 @@
             elif isinstance(event, h11.Response):
                 check_final_status(event.status_code)
                 partial.set_head(event)
-                await partial.wait_for_room()
+                await partial.wait_for_room(announced_bytes(event.headers))
             elif isinstance(event, h11.Data):
                 if partial.add(bytes(event.data)):
                     await trio.lowlevel.checkpoint()
--- a/kingcupvane/process/entry.py
+++ b/kingcupvane/process/entry.py
@@ -11,6 +11,11 @@
 from kingcupvane.connection import listener
 from kingcupvane.connection.caller import CallerServer
 from kingcupvane.connection.inbound import ServerState
+from kingcupvane.connection.memory_budget import (
+    MEBIBYTE,
+    RESPONSES_SHARE,
+    ResponseMemoryBudget,
+)
 from kingcupvane.connection.messages import FrameCodec
 from kingcupvane.connection.peer import PeerClient, PeerServer
 from kingcupvane.connection.target_client import TargetClient
@@ -54,6 +59,8 @@
 LOOKUP_TTL_MARGIN_S = 1.0
 DRAIN_POLL_S = 0.05
 DRAIN_MAX_S = 60.0
+# Memory for responses that does not depend on that for request bodies.
+RESPONSES_MIN_BYTES = 4 * MEBIBYTE
 DRAIN_LOG_PERIOD_S = 5.0
 # Time without requests after which the caller server counts as drained.
 DRAIN_IDLE_S = 1.0
@@ -122,6 +129,10 @@
 
     def _create_clients(self) -> None:
         settings = self._settings
+        share = int(RESPONSES_SHARE * settings.request.buffered_max_bytes)
+        self._responses = ResponseMemoryBudget(
+            max_bytes=max(share, RESPONSES_MIN_BYTES)
+        )
         self._peer_client = PeerClient(
             codec=self._codec,
             clock=self._hybrid_clock,
@@ -131,7 +142,8 @@
             address=settings.store.address, timeout_s=settings.store.timeout_s
         )
         self._target_client = TargetClient(
-            whole_max_bytes=settings.request.whole_max_bytes
+            whole_max_bytes=settings.request.whole_max_bytes,
+            memory=self._responses,
         )
 
     def _create_role(self, key: str) -> Role:
@@ -240,6 +252,7 @@
             order_runner=self._order_runner,
             active_requests=self._active_requests,
             replica=self._replica,
+            responses=self._responses,
         )
         return CallerServer(
             settings=self._settings,
@@ -251,6 +264,7 @@
             state=ServerState(
                 connections_max=self._settings.connections_max,
                 bodies=handler.bodies,
+                responses=self._responses,
             ),
         )
 
--- a/kingcupvane/request/handler.py
+++ b/kingcupvane/request/handler.py
@@ -8,7 +8,11 @@
 
 from kingcupvane import asgi, problem
 from kingcupvane.clock import Clock
-from kingcupvane.connection.memory_budget import BodyBudget
+from kingcupvane.connection.held_response import HeldResponse, parts_of
+from kingcupvane.connection.memory_budget import (
+    BodyBudget,
+    ResponseMemoryBudget,
+)
 from kingcupvane.connection.request_body import Body, HeldBody
 from kingcupvane.connection.target_client import ResponseSink, TargetResponse
 from kingcupvane.errors import Refusal, Step
@@ -60,6 +64,7 @@
         order_runner: OrderRunner,
         active_requests: ActiveRequests,
         replica: ConfigurationReplica,
+        responses: ResponseMemoryBudget | None = None,
     ):
         """Makes a handler.
 
@@ -73,7 +78,9 @@
             order_runner: Runs requests of at-most-once routes.
             active_requests: Cancels requests whose key is withdrawn.
             replica: Holds the configuration in force.
+            responses: Counts the responses on their way to callers.
         """
+        self._responses = responses or ResponseMemoryBudget()
         self._settings = settings
         self._clock = clock
         self._metrics = metrics
@@ -106,8 +113,8 @@
         match result:
             case Ok(response):
                 outcome = str(response.status)
-                if not response.streamed:
-                    await _send_response(response, send)
+                if not await self._send_held(response, send):
+                    outcome = "not-taken"
             case Err(refusal):
                 outcome = refusal.reason
                 self._refusal_counter.count(refusal)
@@ -119,6 +126,19 @@
             {"service": service}, self._clock.now() - started_at
         )
 
+    async def _send_held(
+        self, response: TargetResponse, send: asgi.Send
+    ) -> bool:
+        """Sends a response; returns whether it kept its place meanwhile."""
+        if response.streamed:
+            return True
+        held = HeldResponse(
+            memory=self._responses, size_bytes=len(response.body)
+        )
+        with held:
+            await _send_response(response, held.wrap(send))
+        return not held.is_evicted
+
     async def _serve(
         self, request: asgi.HttpRequest, sink: ResponseSink, started_at: float
     ) -> Result[TargetResponse, Refusal]:
@@ -349,4 +369,7 @@
             "headers": headers,
         }
     )
-    await send({"type": "http.response.body", "body": response.body})
+    for part, more in parts_of(response.body):
+        await send(
+            {"type": "http.response.body", "body": part, "more_body": more}
+        )
--- a/kingcupvane/tests/large_crowd.py
+++ b/kingcupvane/tests/large_crowd.py
@@ -33,14 +33,18 @@
 LARGE_RESPONSE_BYTES = 4 * MEGABYTE
 # A response that counts as small.
 SMALL_RESPONSE_BYTES = 250_000
-RESPONSE_BYTES_BY_PATH = {
-    b"/r/large": LARGE_RESPONSE_BYTES,
-    b"/r/small": SMALL_RESPONSE_BYTES,
+# By the last part of the path, all that an entry's target gets to see.
+RESPONSE_BYTES_BY_NAME = {
+    b"large": LARGE_RESPONSE_BYTES,
+    b"small": SMALL_RESPONSE_BYTES,
 }
 # Requests to this path are never answered by the target.
-HELD_PATH = b"/r/held"
+HELD_NAME = b"held"
+HELD_PATH = b"/r/" + HELD_NAME
 HELD_BODY_BYTES = 100_000
 PIPELINED_BYTES = 300_000
+# Requests of a client that asks until it gets a response.
+SERIES_COUNT = 100
 # Receive buffer of a client that takes no response, in bytes.
 UNREAD_BUFFER_BYTES = 4096
 PATH = b"/r/1"
@@ -117,6 +121,12 @@
     yield head_to(b"/r/small", client) + b"content-length: 0\r\n\r\n"
 
 
+def small_responses_in_series(client: int) -> Iterator[bytes]:
+    """Yields requests for small responses, in case the first are refused."""
+    for _ in range(SERIES_COUNT):
+        yield from small_response(client)
+
+
 def behind_a_held_body(client: int) -> Iterator[bytes]:
     """Yields a request that is held, and many small ones behind it."""
     yield head_to(HELD_PATH, client) + (
@@ -201,8 +211,8 @@
 
 def response_body_to(head: bytes) -> bytes | None:
     """Returns the target's body for a request; None if it never answers."""
-    path = head.split(b" ", 2)[1]
-    if path == HELD_PATH:
+    name = head.split(b" ", 2)[1].rpartition(b"/")[2]
+    if name == HELD_NAME:
         return None
-    size = RESPONSE_BYTES_BY_PATH.get(path, 2)
+    size = RESPONSE_BYTES_BY_NAME.get(name, 2)
     return b"k" * size
--- a/kingcupvane/tests/test_hostile_crowds.py
+++ b/kingcupvane/tests/test_hostile_crowds.py
@@ -9,7 +9,7 @@
 import re
 import subprocess
 import sys
-from dataclasses import asdict
+from dataclasses import asdict, replace
 from pathlib import Path
 
 import msgspec
@@ -187,13 +187,21 @@
     assert max(sockets) < CROWD_LIMITS.descriptors - FILE_DESCRIPTORS
 
 
-def start_fleet(fleet, *, timeout_s=60.0):
-    """Starts an entry with a target of a service that is open to all."""
+def start_fleet(fleet, *, timeout_s=60.0, target_address=""):
+    """Starts an entry with a target of a service that is open to all.
+
+    Args:
+        fleet: Keeps the processes.
+        timeout_s: Timeout of requests, in seconds.
+        target_address: Address of a target that runs; empty to start one.
+    """
     location = {"region": "r1", "data_centre": "dc-a"}
     fleet.add_store()
     fleet.wait_ready()
     entry = EntrySpec(name="e-a1", **location)
     target = TargetSpec(name="t-a1", service="r", slots=40, **location)
+    if target_address:
+        target = replace(target, address=target_address, slots=400)
     process = fleet.add_entry(
         entry,
         request={
@@ -202,7 +210,8 @@
             "timeout_s": timeout_s,
         },
     )
-    fleet.add_target(target)
+    if not target_address:
+        fleet.add_target(target)
     fleet.wait_ready()
     note = "".join(
         (
--- a/kingcupvane/tests/test_large_crowds.py
+++ b/kingcupvane/tests/test_large_crowds.py
@@ -26,6 +26,7 @@
     large_response,
     of_many_kinds,
     response_body_to,
+    small_responses_in_series,
 )
 from kingcupvane.tests.lone_gateway import Limits
 from kingcupvane.tests.test_endless_clients import peak_bytes
@@ -66,6 +67,10 @@
 # A process that has not ended by then hangs: many times the longest stop.
 HANG_S = 100.0
 ENTRY_CROWDS = ("of-many-kinds", "heads-and-trailers-without-end")
+# An entry sends a new target few requests at once and refuses the others.
+UNREAD_SERIES_CROWD = LargeCrowd(
+    pieces=small_responses_in_series, count=300, takes_responses=False
+)
 STATE_ESTABLISHED = "01"
 
 
@@ -80,7 +85,8 @@
             data += part
         head, _, data = data.partition(b"\r\n\r\n")
         length = re.search(rb"content-length: (\d+)", head)
-        attempt = re.search(NAMES.attempt + rb": (\S+)", head)
+        found = re.search(NAMES.attempt + rb": (\S+)", head)
+        attempt = found[1] if found else b"-"
         remaining = (int(length[1]) if length else 0) - len(data)
         while remaining > 0:
             part = await stream.receive_some(min(65536, remaining))
@@ -93,7 +99,7 @@
             await trio.sleep_forever()
         await stream.send_all(
             b"HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\ncontent-length: %d\r\n\r\n"
-            % (NAMES.attempt, attempt[1], NAMES.stamp, len(body))
+            % (NAMES.attempt, attempt, NAMES.stamp, len(body))
             + body
         )
 
@@ -224,6 +230,41 @@
     assert growth < ENTRY_GROWTH_MAX_BYTES
 
 
+def test_entry_outlives_hundreds_that_take_no_response(
+    tmp_path, record_property
+):
+    seen = {}
+    kernel = []
+
+    async def main(fleet):
+        server = ScriptedTarget(serve_by_path)
+        with trio.fail_after(HANG_S):
+            async with trio.open_nursery() as nursery:
+                await nursery.start(server.run)
+                entry = await trio.to_thread.run_sync(
+                    lambda: start_fleet(fleet, target_address=server.address)
+                )
+                await wait_until_served(entry.address)
+                seen["idle"] = peak_bytes(entry.popen)
+                await play(
+                    entry.popen,
+                    entry.address,
+                    UNREAD_SERIES_CROWD,
+                    seen,
+                    [],
+                    kernel,
+                )
+                nursery.cancel_scope.cancel()
+
+    with Fleet(folder=tmp_path) as fleet:
+        trio.run(main, fleet)
+    record(record_property, seen, [], kernel)
+    assert seen["alive"]
+    assert seen["answer"].startswith(OK)
+    growth = seen["peak"] + max(kernel) - seen["idle"]
+    assert growth < ENTRY_GROWTH_MAX_BYTES
+
+
 async def stop_beside_crowds(process, address, crowds, seen):
     """Stops a process while crowds are connected; waits for its end."""
     async with trio.open_nursery() as nursery:
