Memory: the kernel holds little of bodies while room is short

What callers saw: none.

Cause: a body's kernel buffer was kept small only once the body waited for room. Until then it grows as the sender keeps ahead of a process that is scheduled late, on this machine up to 32 MiB a connection; what has arrived can't be given back.

Change: from a quarter of the bodies' room in use, it is kept small (128 KiB) before more of a body is read, for the rest of its connection. In calm nothing changes.

The new unit test failed before.

--- a/kingcupvane/connection/memory_budget.py
+++ b/kingcupvane/connection/memory_budget.py
@@ -23,6 +23,8 @@
 SMALL_BODY_BYTES = 65536
 # Memory of an open connection: its task, parser and kernel structures.
 CONNECTION_BYTES = 16384
+# Share of the bodies' room from which the kernel may hold little for each.
+SHORT_SHARE = 0.25
 # Bytes that a body without a known length reserves at a time.
 GROWTH_MIN_BYTES = 4096
 GROWTH_MAX_BYTES = 65536
@@ -187,6 +189,10 @@
         self.used_bytes -= lease.reserved_bytes
         lease.reserved_bytes = 0
 
+    def is_short(self) -> bool:
+        """Returns whether so much is used that bodies may soon have to wait."""
+        return self.used_bytes > SHORT_SHARE * self.max_bytes
+
     def evict_latest(self, now: float) -> bool:
         """Evicts the body that has been too slow for longest, if any."""
         late = [lease for lease in self._leases if lease.is_late(now)]
--- a/kingcupvane/connection/request_body.py
+++ b/kingcupvane/connection/request_body.py
@@ -116,6 +116,7 @@
         self._buffer = BodyBuffer()
         self._lease: BodyLease | None = None
         self._remaining_wait_s = ROOM_WAIT_S
+        self._is_unread_limited = False
         self._scope = trio.CancelScope()
 
     def __enter__(self) -> "HeldBody":
@@ -181,6 +182,7 @@
         self, request: asgi.HttpRequest, lease: BodyLease, limit: int
     ) -> None:
         while not lease.is_evicted:
+            self._limit_unread(request)
             message = await request.receive()
             if message["type"] == "http.disconnect":
                 raise asgi.CallerDisconnectedError
@@ -190,6 +192,15 @@
             if not message.get("more_body", False):
                 return
 
+    def _limit_unread(self, request: asgi.HttpRequest) -> None:
+        """Keeps what the kernel holds of the body small while room is short.
+
+        It takes effect only for bytes that have not arrived.
+        """
+        if not self._is_unread_limited and self._budget.is_short():
+            self._is_unread_limited = True
+            request.limit_unread()
+
     async def _add(
         self,
         request: asgi.HttpRequest,
--- a/kingcupvane/tests/test_request_body.py
+++ b/kingcupvane/tests/test_request_body.py
@@ -1,6 +1,7 @@
 """Tests of the reading of request bodies within a budget."""
 
 import hashlib
+from dataclasses import replace
 
 import pytest
 import trio
@@ -203,3 +204,18 @@
         )
 
     run(check)
+
+
+# The kernel held up to 35 MB of bodies that were not read for want of room.
+@pytest.mark.parametrize(("size", "limited"), [(1, 0), (BLOCK_BYTES + 1, 1)])
+def test_the_kernel_holds_little_of_bodies_while_room_is_short(size, limited):
+    calls = []
+    sent = request([bytes(size), b"x", b"x"])
+    sent = replace(sent, limit_unread=lambda: calls.append(None))
+
+    async def check():
+        with HeldBody(budget=budget()) as held:
+            await held.read(sent, limit=LIMIT)
+
+    run(check)
+    assert len(calls) == limited
