Test: a crowd of all uses at once holds a gateway's bounds (fails)

Bodies short of their end, responses that nobody reads, and heads, extensions and trailers without end, 400 clients together: each use alone stays within the memory (of-many-kinds, small-responses-unread, heads-and-trailers), together they don't. The sum of the bounds leaves out that responses may hold as much again on their way, and what the kernel holds before a connection is read.

--- a/kingcupvane/tests/large_crowd.py
+++ b/kingcupvane/tests/large_crowd.py
@@ -136,6 +136,12 @@
     yield bytes(HELD_BODY_BYTES) + behind * (PIPELINED_BYTES // len(behind))
 
 
+def of_all_uses(client: int) -> Iterator[bytes]:
+    """Yields a body, a request whose response is not read, or no end."""
+    kinds = (many_at_once, small_response, heads_and_trailers)
+    return kinds[client % len(kinds)](client // len(kinds))
+
+
 def nothing(client: int) -> Iterator[bytes]:
     """Yields nothing at all; the connection only stays open."""
     del client
@@ -164,6 +170,9 @@
     "small-responses-unread": LargeCrowd(
         pieces=small_response, count=300, takes_responses=False
     ),
+    "of-all-uses": LargeCrowd(
+        pieces=of_all_uses, count=400, takes_responses=False
+    ),
     "behind-held-bodies": LargeCrowd(pieces=behind_a_held_body, count=150),
     "more-than-the-descriptors": LargeCrowd(pieces=nothing, count=450),
 }
