Memory: the kernel takes 64 KiB of a connection that is not read

What callers saw: none; 150 clients with requests pipelined behind a held body left 28 to 30 MiB unread in the kernel of a gateway that may use 128 MiB in all, and 87 to 95 MiB were resident: little was left to the bound.

Cause: the limit of 128 KiB is doubled by the kernel, and each such connection fills it.

Change: 64 KiB. It holds for connections that aren't read, or whose body is read while room is short.

The tests of pipelined requests, disconnected callers, listener, bodies, memory and endless clients pass.

--- a/kingcupvane/connection/inbound.py
+++ b/kingcupvane/connection/inbound.py
@@ -45,7 +45,7 @@
 # Bytes of a head read at a time.
 HEAD_CHUNK_BYTES = 16384
 # Bytes that the kernel takes for a connection which is not being read.
-UNREAD_MAX_BYTES = 131072
+UNREAD_MAX_BYTES = 65536
 # Chunks of a body that are joined if they are smaller than this, and how many
 # before other tasks get their turn.
 TINY_CHUNK_BYTES = 1024
