Responses: one whose last part was just taken doesn't count as not taken

A response could lose its place at the moment at which its caller had taken the last part; it was sent, but logged as not taken. Found by reading. Tests of the sending within the budget: parts, room that is freed, slow takers, this moment.

--- a/kingcupvane/connection/held_response.py
+++ b/kingcupvane/connection/held_response.py
@@ -60,7 +60,10 @@
     def __exit__(self, *error: Any) -> bool | None:
         """Frees the place."""
         self._memory.close_sending(self._lease)
-        return self._scope.__exit__(*error)
+        suppresses = self._scope.__exit__(*error)
+        # The last part may have been taken at the same moment.
+        self.is_evicted &= self._scope.cancelled_caught
+        return suppresses
 
     def wrap(self, send: asgi.Send) -> asgi.Send:
         """Returns a `send` that counts what the caller takes."""
