--- a/kingcupvane/connection/inbound.py
+++ b/kingcupvane/connection/inbound.py
@@ -24,6 +24,7 @@
     MEBIBYTE,
     Account,
     BodyBudget,
+    ResponseMemoryBudget,
 )
 from kingcupvane.connection.round_limiter import RoundLimiter
 from kingcupvane.connection.target_connection import RECEIVE_CHUNK_BYTES, abort
@@ -44,7 +45,7 @@
 # Bytes of a head read at a time.
 HEAD_CHUNK_BYTES = 16384
 # Bytes that the kernel takes for a connection which is not being read.
-UNREAD_MAX_BYTES = 131072
+UNREAD_MAX_BYTES = 65536
 # Chunks of a body that are joined if they are smaller than this, and how many
 # before other tasks get their turn.
 TINY_CHUNK_BYTES = 1024
@@ -52,6 +53,8 @@
 # Longest time in which a caller takes a response, in seconds, in addition to
 # what the least rate allows for its size.
 WRITE_TIMEOUT_S = 30.0
+# Parts of a response that are joined for one write.
+JOINED_WRITE_MAX_BYTES = 16384
 # Time from which an incomplete head loses its place to a new connection.
 HEAD_LATE_S = 2.0
 # Limits of the connections where no process has set them.
@@ -103,6 +106,8 @@
         connections_max: Most open connections.
         memory: Memory of the connections and of what they have sent ahead.
         bodies: Room for request bodies; slow ones give way to new connections.
+        responses: Room for responses; those that callers do not take give way,
+            too.
     """
 
     stop: trio.Event = field(default_factory=trio.Event)
@@ -120,6 +125,7 @@
         default_factory=lambda: Account(max_bytes=DEFAULT_CONNECTIONS_BYTES)
     )
     bodies: BodyBudget | None = None
+    responses: ResponseMemoryBudget | None = None
 
     def free_places(self) -> int:
         """Returns how many more connections may be accepted now."""
@@ -131,7 +137,8 @@
         """Ends what can best be spared; returns whether there was anything.
 
         That is a head that stays incomplete, else the connection that has been
-        idle for longest, else a request whose body comes too slowly.
+        idle for longest, else a request whose body comes too slowly, else a
+        response that its caller does not take.
 
         Args:
             now: Monotonic time in seconds.
@@ -146,7 +153,9 @@
             del self.idle_scopes[scope]
             scope.cancel()
             return True
-        return self.bodies is not None and self.bodies.evict_latest(now)
+        if self.bodies is not None and self.bodies.evict_latest(now):
+            return True
+        return self.responses is not None and self.responses.evict_stalled(now)
 
 
 class InboundConnection:
@@ -559,12 +568,12 @@
             self._response_start = None
         body = message.get("body", b"")
         if body and self._may_have_body():
-            parts.append(parser.send(h11.Data(data=body)))
+            parts += parser.send_with_data_passthrough(h11.Data(data=body))
         last = not message.get("more_body", False)
         if last:
             parts.append(parser.send(h11.EndOfMessage()))
         self._response_started = True
-        await self._write(b"".join(part for part in parts if part))
+        await self._write_parts([part for part in parts if part])
         self._response_sent = last
 
     def _make_response(self, start: dict[str, Any]) -> h11.Response:
@@ -593,7 +602,14 @@
         )
         await self._write(head + (self._parser.send(h11.EndOfMessage()) or b""))
 
-    async def _write(self, data: bytes) -> None:
+    async def _write_parts(self, parts: list[bytes | memoryview]) -> None:
+        """Sends parts of a response; large ones are not copied."""
+        if sum(map(len, parts)) <= JOINED_WRITE_MAX_BYTES:
+            parts = [b"".join(parts)]
+        for part in parts:
+            await self._write(part)
+
+    async def _write(self, data: bytes | memoryview) -> None:
         """Sends bytes; a caller that does not take them counts as gone."""
         timeout_s = WRITE_TIMEOUT_S + len(data) / LEAST_RATE_BYTES_PER_S
         try:
--- a/kingcupvane/connection/target_connection.py
+++ b/kingcupvane/connection/target_connection.py
@@ -23,6 +23,7 @@
     AnswerTooLargeError,
     PartialResponse,
     ResponseMemoryBudget,
+    announced_bytes,
 )
 from kingcupvane.connection.response_status import (
     InvalidStatusError,
@@ -31,6 +32,8 @@
 
 # Most bytes read from a socket at a time.
 RECEIVE_CHUNK_BYTES = 65536
+# Bytes read with the head of a response: it may then have to wait for room.
+FIRST_CHUNK_BYTES = 16384
 # Bodies up to this size are sent before the response is read; larger ones while
 # it is read.
 INLINE_BODY_BYTES = 16384
@@ -228,6 +231,7 @@
             elif isinstance(event, h11.Response):
                 check_final_status(event.status_code)
                 partial.set_head(event)
+                await partial.wait_for_room(announced_bytes(event.headers))
             elif isinstance(event, h11.Data):
                 if partial.add(bytes(event.data)):
                     await trio.lowlevel.checkpoint()
@@ -247,7 +251,10 @@
         Raises:
             ExchangeBrokenError: The end is that of a reset connection.
         """
-        data = await self.stream.receive_some(RECEIVE_CHUNK_BYTES)
+        is_body = self.parser.their_state is h11.SEND_BODY
+        data = await self.stream.receive_some(
+            RECEIVE_CHUNK_BYTES if is_body else FIRST_CHUNK_BYTES
+        )
         if not data and self._is_sending:
             for _ in range(ROUNDS_UNTIL_ERROR_IS_KNOWN):
                 await trio.lowlevel.checkpoint()
