--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -128,6 +128,7 @@
             async with asyncio.timeout(deadline_ms / 1000):
                 response = await self._exchange(data)
             attempt.status = response.status
+            attempt.stamp = response.headers.get("kingcupvane-server-stamp", "")
             attempt.detail = response.body[:160].decode("latin-1").strip()
             connection = response.headers.get("connection", "").lower()
             self.is_usable = connection != "close"
--- a/review/standins/http1.py
+++ b/review/standins/http1.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from urllib.parse import parse_qs, urlsplit
 
 HEAD_MAX_BYTES = 65536
 REASONS = {
@@ -109,3 +110,9 @@
     lines += [f"{name}: {value}" for name, value in headers.items()]
     lines.append(f"Content-Length: {len(body)}")
     return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
+
+
+def parse_query(target: str) -> dict[str, str]:
+    """Returns the first value of each name in a target's query."""
+    query = parse_qs(urlsplit(target).query)
+    return {name: values[0] for name, values in query.items()}
