Soak of gateways: targets that leave unannounced; ends its gateways on SIGTERM

Targets may remove their entry and serve on; a store that comes back from an older copy has the entry again until they remove it once more. The result names how late the soak's own process was scheduled. A soak that is stopped ends its gateways.

--- a/kingcupvane/soak/gateway_faults.py
+++ b/kingcupvane/soak/gateway_faults.py
@@ -159,10 +159,16 @@
         await asyncio.sleep(step.values["duration_s"])
         store.set_trouble(Trouble())
 
-    @_handles("target_drained")
+    @_handles("target_drained", "target_removed")
     async def _drain(self, step: Step) -> None:
-        servers = self._drill.servers
-        await servers[step.subject % len(servers)].drain_and_return(
+        server = self._drill.servers[step.subject % len(self._drill.servers)]
+        is_announced = step.kind == "target_drained"
+        leave = (
+            server.drain_and_return
+            if is_announced
+            else server.leave_unannounced
+        )
+        await leave(
             serves_s=GUILD_BOUNDS["drainS"] + step.values["serves_on_s"],
             back_after_s=step.values["back_after_s"],
         )
--- a/kingcupvane/soak/gateway_runner.py
+++ b/kingcupvane/soak/gateway_runner.py
@@ -39,23 +39,47 @@
 SCRIPT_FILE_NAME = "script.json"
 RECORD_FILE_NAME = "record.jsonl"
 RESULT_FILE_NAME = "result.txt"
+OUTPUT_FILE_NAME = "output.txt"
 FAILED_TASK = b"event=task-failed"
 FAULTS_PRINTED_MAX = 12
 PASSED = 0
 FAILED = 1
 NOT_RUN = 2
+LATENESS_PERIOD_S = 0.05
+
+_RUNNING: set[subprocess.Popen] = set()
+
+
+class Lateness:
+    """How late this process is scheduled, as a sign of a busy machine.
+
+    Attributes:
+        worst_s: Longest delay so far, in seconds.
+    """
+
+    def __init__(self):
+        """Starts without a delay."""
+        self.worst_s = 0.0
+
+    async def watch(self) -> None:
+        """Measures until cancelled."""
+        while True:
+            due_at = time.monotonic() + LATENESS_PERIOD_S
+            await asyncio.sleep(LATENESS_PERIOD_S)
+            self.worst_s = max(self.worst_s, time.monotonic() - due_at)
 
 
 class NotRunError(Exception):
     """The gateways did not start, so that the seed shows nothing."""
 
 
-async def play(script: Script, *, folder: Path) -> Record:
+async def play(script: Script, *, folder: Path, lateness: Lateness) -> Record:
     """Plays a script and returns what was seen.
 
     Args:
         script: The script.
         folder: Folder for the gateways' settings and logs.
+        lateness: Notes how busy the machine was.
 
     Raises:
         NotRunError: The gateways do not become ready.
@@ -64,6 +88,7 @@
     record = Record(gateways=[g.name for g in drill.fleet.gateways])
     rng = random.Random(script.seed + 1)
     callers = Callers(drill=drill, record=record, rng=rng)
+    watch = asyncio.create_task(lateness.watch())
     try:
         if not await drill.start():
             raise NotRunError("the gateways do not become ready")
@@ -78,6 +103,7 @@
         await callers.stop()
         await _fill_record(record, drill, folder)
     finally:
+        watch.cancel()
         await drill.fleet.stop()
     return record
 
@@ -149,13 +175,14 @@
     """
     # Gateways inherit it: the platform starts them with the default action.
     signal.signal(signal.SIGHUP, signal.SIG_DFL)
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     folder.mkdir(parents=True, exist_ok=True)
     script = script or generate(seed)
     (folder / SCRIPT_FILE_NAME).write_text(script.to_json())
+    lateness = Lateness()
+    playing = play(script, folder=folder, lateness=lateness)
     try:
-        record = asyncio.run(
-            asyncio.wait_for(play(script, folder=folder), SEED_LIMIT_S)
-        )
+        record = asyncio.run(asyncio.wait_for(playing, SEED_LIMIT_S))
     except Exception as error:
         # Whatever ends a seed early, it was not judged.
         details = traceback.format_exc()
@@ -166,7 +193,8 @@
     summary = (
         f"gateways={script.gateways} plans={len(record.plans)}"
         f" asks={len(record.asks)} leavings={len(record.leavings)}"
-        f" disruptions={len(record.disruptions)} faults={len(faults)}"
+        f" disruptions={len(record.disruptions)}"
+        f" late_s={lateness.worst_s:.2f} faults={len(faults)}"
     )
     lines = [summary, *map(str, faults)]
     (folder / RESULT_FILE_NAME).write_text("\n".join(lines) + "\n")
@@ -191,6 +219,7 @@
         only_restores: Whether to leave out seeds whose store never comes back
             from an older copy.
     """
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     root = Path(keep or tempfile.mkdtemp(prefix="kingcupvane-soak-"))
     chosen = [
         seed
@@ -200,8 +229,15 @@
     bad = 0
     with ThreadPoolExecutor(at_once) as pool:
         futures = [pool.submit(_run_process, seed, root) for seed in chosen]
-        for future in as_completed(futures):
-            bad += future.result() != PASSED
+        try:
+            for future in as_completed(futures):
+                bad += future.result() != PASSED
+        except KeyboardInterrupt:
+            pool.shutdown(wait=False, cancel_futures=True)
+            # They end their gateways themselves.
+            for process in list(_RUNNING):
+                process.terminate()
+            raise
     print(f"{len(chosen)} seeds, {bad} failed or not run")
     return bad
 
@@ -211,11 +247,16 @@
     folder = root / str(seed)
     started_at = time.monotonic()
     command = [sys.executable, "-m", "kingcupvane.soak", "gateway_seed"]
-    status = subprocess.run(
-        [*command, f"--seed={seed}", f"--folder={folder}"],
-        stdout=subprocess.DEVNULL,
-        check=False,
-    ).returncode
+    folder.mkdir(parents=True, exist_ok=True)
+    with (folder / OUTPUT_FILE_NAME).open("wb") as output:
+        process = subprocess.Popen(
+            [*command, f"--seed={seed}", f"--folder={folder}"],
+            stdout=output,
+            stderr=output,
+        )
+        _RUNNING.add(process)
+        status = process.wait()
+        _RUNNING.discard(process)
     result = folder / RESULT_FILE_NAME
     lines = result.read_text().splitlines() if result.exists() else ["ended"]
     word = {PASSED: "passed", FAILED: "FAILED"}.get(status, "NOT RUN")
--- a/kingcupvane/soak/gateway_script.py
+++ b/kingcupvane/soak/gateway_script.py
@@ -164,9 +164,9 @@
 def _target_faults(rng: random.Random, length_s: float, index: int):
     at = rng.uniform(0.5, 15)
     while at < length_s:
-        kind = rng.choice(("drained", "drained", "drained", "crashed"))
+        kind = rng.choice(("drained", "drained", "removed", "crashed"))
         values = {}
-        if kind == "drained":
+        if kind != "crashed":
             values = {
                 "serves_on_s": rng.uniform(0.3, 6),
                 "back_after_s": rng.uniform(0.5, 3),
--- a/review/standins/leaving_server.py
+++ b/review/standins/leaving_server.py
@@ -68,6 +68,39 @@
         await asyncio.sleep(back_after_s)
         await self.start()
 
+    async def leave_unannounced(
+        self, *, serves_s: float, back_after_s: float
+    ) -> None:
+        """Removes its entry, serves on, leaves and comes again.
+
+        A store that comes back from an older copy has the entry; the server
+        removes it again.
+
+        Args:
+            serves_s: Time that it serves after the acknowledgement, in seconds.
+            back_after_s: Time from its leaving to its next start, in seconds.
+        """
+        if not self.is_up or self.is_leaving:
+            return
+        self.is_leaving = True
+        self._beats.cancel()
+        era = await self._remove_entry()
+        deadline = asyncio.get_running_loop().time() + serves_s
+        while asyncio.get_running_loop().time() < deadline:
+            await asyncio.sleep(RETRY_S)
+            if self._drill_store.era != era:
+                era = await self._remove_entry()
+        self.crash()
+        await asyncio.sleep(back_after_s)
+        await self.start()
+
+    async def _remove_entry(self) -> int:
+        """Removes its entry and returns the store's era."""
+        await self._wait_for_store()
+        await self._store.remove(f"servers/{self.id}")
+        self.leavings.append((self.id, self._now()))
+        return self._drill_store.era
+
     async def _send_heartbeats(self, server_id: str) -> None:
         born = int(time.time() * 1000)
         for sequence in itertools.count(1):
