Mirror: a late copy of a peer does not bring back a removed key

Nothing would have taken it out before the store's next listing.

Cause, by the log's order and the unit test: a mirror has no tombstone of a key that was removed before its first listing. The whole copy of a peer that was behind, answered after that listing, brought the key back, and no later change names it.

Change: an item below the mirror's last listing whose key the mirror doesn't know was removed, and is dropped unless it comes with a later listing.

Result: test_late_copy_of_a_peer_does_not_bring_back_a_removed_key failed before and passes.

--- a/kingcupvane/process/mirror.py
+++ b/kingcupvane/process/mirror.py
@@ -76,8 +76,10 @@
                     deleted=True,
                 )
                 changed.extend(self._apply(tombstone))
+        is_late = as_of < self.as_of
         for item in listed.values():
-            changed.extend(self._apply(item))
+            if not (is_late and self._was_removed(item)):
+                changed.extend(self._apply(item))
         # A listing does not name the keys that were removed before it.
         self._pruned_up_to = max(self._pruned_up_to, as_of)
         self.as_of = max(self.as_of, as_of)
@@ -110,7 +112,7 @@
         """
         changed = []
         for item in items:
-            if item.era == self.as_of.era:
+            if item.era == self.as_of.era and not self._was_removed(item):
                 changed.extend(self._apply(item))
         return changed
 
@@ -129,6 +131,18 @@
             item for item in (*live, *tombstones) if item.position > position
         ]
 
+    def _was_removed(self, item: Item) -> bool:
+        """Returns whether the key must have been removed since the item.
+
+        The mirror is complete, but has no tombstone of a key that was removed
+        before its last listing.
+        """
+        is_known = (
+            item.key in self._items_by_key
+            or item.key in self._tombstones_by_key
+        )
+        return not is_known and item.position <= self._pruned_up_to
+
     def _apply(self, item: Item) -> Iterator[Item]:
         """Applies a newer item; yields it if it says something else."""
         key = item.key
--- a/kingcupvane/tests/test_mirror.py
+++ b/kingcupvane/tests/test_mirror.py
@@ -203,3 +203,28 @@
         assert contents(mirror) == {
             key: item.value for key, item in store.items.items()
         }
+
+
+def _mirror_whose_listing_lacks_a_removed_key():
+    mirror = Mirror(prefix="")
+    mirror.replace([Item(key="a", value="v", revision=1)], as_of=Position(0, 9))
+    return mirror
+
+
+def test_late_copy_of_a_peer_does_not_bring_back_a_removed_key():
+    late = [
+        Item(key="a", value="v", revision=1),
+        Item(key="removed", value="v", revision=3),
+    ]
+    mirror = _mirror_whose_listing_lacks_a_removed_key()
+    assert mirror.replace(late, as_of=Position(0, 5)) == []
+    assert mirror.merge(late, as_of=Position(0, 5)) == []
+    assert mirror.add(late) == []
+    assert contents(mirror) == {"a": "v"}
+
+
+def test_later_listing_adds_what_the_mirror_lacks():
+    listed = [Item(key="missed", value="v", revision=3)]
+    mirror = _mirror_whose_listing_lacks_a_removed_key()
+    mirror.replace(listed, as_of=Position(0, 9))
+    assert contents(mirror) == {"missed": "v"}
