Missing targets: their time counts from the store's return

Cause: a target that is missing after an outage or a start was kept for 2.2 s from its removal; a live one is back within about two seconds of the store's return. Change: the time counts from the return; the decision is in a module of its own, Registrations.

--- a/kingcupvane/process/catalog.py
+++ b/kingcupvane/process/catalog.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from kingcupvane.clock import Clock
+from kingcupvane.process.registrations import Registrations
 from kingcupvane.process.timeline import Timeline
 from kingcupvane.request.announcements import (
     Announcement,
@@ -42,9 +43,6 @@
 )
 from kingcupvane.version.rollout_checkpoint import RolloutCheckpoint
 
-# Time within which a live target registers again once the store is reachable
-# again, in seconds.
-REREGISTRATION_GRACE_S = 2.2
 # Time constant of the smoothed demand by service, in seconds.
 DEMAND_TIME_CONSTANT_S = 3.0
 
@@ -203,11 +201,10 @@
         )
         self._views_by_name: dict[str, TargetView] = {}
         self._views_by_service: dict[str, list[TargetView]] = {}
-        self._removed_at_by_name: dict[str, float] = {}
+        self._registrations = Registrations()
         self._demand_estimators_by_service: dict[str, DemandEstimator] = {}
         self._spillover_by_service: dict[str, SpilloverController] = {}
         self._ranking_cache = RankingCache(locality=locality)
-        self._store_unreachable_at = float("-inf")
         self._leaving_instances = LeavingInstances()
         self._deferred_by_name: dict[str, TargetView] = {}
 
@@ -357,7 +354,7 @@
 
     def mark_store_unreachable(self) -> None:
         """Records that no live gateway watches the store now."""
-        self._store_unreachable_at = self._clock.now()
+        self._registrations.mark_store_unreachable(self._clock.now())
 
     def begin_store_era(self) -> None:
         """Prepares for what a store that came back from a copy has forgotten.
@@ -508,12 +505,8 @@
         """
         now = self._clock.now()
         self.peer_requests.remove_expired(now)
-        for name, removed_at in list(self._removed_at_by_name.items()):
-            if (
-                now - max(removed_at, self._store_unreachable_at)
-                > REREGISTRATION_GRACE_S
-            ):
-                self._remove_target(name)
+        for name in self._registrations.expired_names(now):
+            self._remove_target(name)
 
     def _apply_plan(self, plan: TrafficPlan) -> None:
         if plan.number < self.plan.number:
@@ -530,8 +523,8 @@
         if target is None:
             self._apply_target_removal(name)
             return
-        self._removed_at_by_name.pop(name, None)
         now = self._clock.now()
+        self._registrations.discard(name)
         view = self._views_by_name.get(name)
         is_known = view is not None and _is_same_instance(view.target, target)
         if not is_known:
@@ -566,17 +559,15 @@
     def _apply_target_removal(self, name: str) -> None:
         if name not in self._views_by_name:
             return
-        now = self._clock.now()
-        if now - self._store_unreachable_at > REREGISTRATION_GRACE_S:
+        if not self._registrations.has_time(name, self._clock.now()):
             self._remove_target(name)
             return
-        self._removed_at_by_name[name] = now
         self._timeline.record("target-missing", target=name)
 
     def _remove_target(self, name: str) -> None:
-        self._removed_at_by_name.pop(name, None)
         view = self._views_by_name.pop(name, None)
         if view is not None:
+            self._registrations.discard(name)
             self.pace.remove_target(name)
             self._reindex({view.target.service})
             self._timeline.record("target-gone", target=name)
