Targets that had left stay out when an older copy lists them

Cause: what the copy lists counted as a registration. Change: in a new era, the record of an instance that had been removed counts once it changes, or if it is still listed after 5 s, in which the store removes records that nobody renews; until then the gateway does as before.

--- a/kingcupvane/process/catalog.py
+++ b/kingcupvane/process/catalog.py
@@ -360,10 +360,10 @@
         """Prepares for what a store that came back from a copy has forgotten.
 
         Registrations that are missing have the usual time to be written again,
-        and a target that had announced its stop is still leaving, even if the
-        copy is older than that.
+        and a target that had announced its stop or had left is not used, even
+        if the copy is older than that.
         """
-        self.mark_store_unreachable()
+        self._registrations.begin_era(self._clock.now())
         for view in list(self._views_by_name.values()):
             if view.target.leaving:
                 self.mark_leaving(instance_of(view.target), source="store")
@@ -507,6 +507,8 @@
         self.peer_requests.remove_expired(now)
         for name in self._registrations.expired_names(now):
             self._remove_target(name)
+        for target in self._registrations.proven_targets(now):
+            self._add_target(target, now)
 
     def _apply_plan(self, plan: TrafficPlan) -> None:
         if plan.number < self.plan.number:
@@ -524,7 +526,13 @@
             self._apply_target_removal(name)
             return
         now = self._clock.now()
-        self._registrations.discard(name)
+        if self._registrations.accepts(target, now):
+            self._add_target(target, now)
+        else:
+            self._timeline.record("target-unproven", target=name)
+
+    def _add_target(self, target: RegisteredTarget, now: float) -> None:
+        name = target.name
         view = self._views_by_name.get(name)
         is_known = view is not None and _is_same_instance(view.target, target)
         if not is_known:
@@ -557,6 +565,7 @@
         )
 
     def _apply_target_removal(self, name: str) -> None:
+        self._registrations.drop_unproven(name)
         if name not in self._views_by_name:
             return
         if not self._registrations.has_time(name, self._clock.now()):
@@ -567,7 +576,7 @@
     def _remove_target(self, name: str) -> None:
         view = self._views_by_name.pop(name, None)
         if view is not None:
-            self._registrations.discard(name)
+            self._registrations.note_removed(view.target)
             self.pace.remove_target(name)
             self._reindex({view.target.service})
             self._timeline.record("target-gone", target=name)
--- a/kingcupvane/process/registrations.py
+++ b/kingcupvane/process/registrations.py
@@ -1,29 +1,71 @@
 """Which registrations of targets count after a loss or return of the store.
 
 A live target whose record ended while the store was away writes it again soon
-after the store's return.
+after the store's return. A store that came back from an older copy also lists
+targets that had left.
 """
 
+from collections import OrderedDict
+
+from kingcupvane.request.announcements import TargetInstance, instance_of
+from kingcupvane.version.plan import RegisteredTarget
+
 # Time from the store's return within which a live target has registered again,
 # in seconds.
 REREGISTRATION_GRACE_S = 2.2
+# Time from a change of era after which the store has removed the records of
+# targets that don't renew them, in seconds.
+RENEWAL_MAX_S = 5.0
+# Removed instances that are remembered; the oldest are forgotten first.
+REMOVED_INSTANCES_MAX = 1024
 
 
 class Registrations:
-    """Targets whose records are missing; does no I/O."""
+    """Missing targets and those that an older copy brings back; no I/O."""
 
     def __init__(self):
         """Starts with a store that was never away."""
         self._returned_at = float("-inf")
+        self._era_began_at = float("-inf")
         self._missing_names: set[str] = set()
+        self._removed: OrderedDict[TargetInstance, None] = OrderedDict()
+        self._unproven_by_name: dict[str, RegisteredTarget] = {}
 
     def mark_store_unreachable(self, now: float) -> None:
         """Notes that the store is not back before now."""
         self._returned_at = now
 
-    def discard(self, name: str) -> None:
-        """Notes that a target is listed, or not used any more."""
+    def begin_era(self, now: float) -> None:
+        """Notes that the store has come back from an older copy."""
+        self._returned_at = now
+        self._era_began_at = now
+
+    def accepts(self, target: RegisteredTarget, now: float) -> bool:
+        """Returns whether a registration counts now.
+
+        That of an instance which had been removed before the store came back
+        counts once it changes, or after `RENEWAL_MAX_S`.
+
+        Args:
+            target: The registration.
+            now: Monotonic seconds.
+        """
+        name = target.name
         self._missing_names.discard(name)
+        if name in self._unproven_by_name:
+            del self._unproven_by_name[name]
+            return True
+        if (
+            now - self._era_began_at < RENEWAL_MAX_S
+            and instance_of(target) in self._removed
+        ):
+            self._unproven_by_name[name] = target
+            return False
+        return True
+
+    def drop_unproven(self, name: str) -> None:
+        """Notes that the store no longer lists a target."""
+        self._unproven_by_name.pop(name, None)
 
     def has_time(self, name: str, now: float) -> bool:
         """Returns whether a target whose record is missing may come back.
@@ -40,3 +82,20 @@
         if now - self._returned_at <= REREGISTRATION_GRACE_S:
             return []
         return sorted(self._missing_names)
+
+    def proven_targets(self, now: float) -> list[RegisteredTarget]:
+        """Returns those that the store still lists, which count from now on."""
+        if now - self._era_began_at < RENEWAL_MAX_S:
+            return []
+        targets = list(self._unproven_by_name.values())
+        self._unproven_by_name.clear()
+        return targets
+
+    def note_removed(self, target: RegisteredTarget) -> None:
+        """Notes that a target is not used any more."""
+        self._missing_names.discard(target.name)
+        instance = instance_of(target)
+        self._removed[instance] = None
+        self._removed.move_to_end(instance)
+        if len(self._removed) > REMOVED_INSTANCES_MAX:
+            self._removed.popitem(last=False)
