Registrations: a leaving counts at once, whatever had been removed before

A target that had lapsed once, was back, and wrote that it leaves within 5 s of the store's return from a copy was used for up to 5 s: an instance that came back stayed among the removed ones. Now a registration that counts takes its instance out of them, a leaving is never held back, and an unreadable record drops the one that waits.

--- a/kingcupvane/process/catalog.py
+++ b/kingcupvane/process/catalog.py
@@ -235,6 +235,7 @@
             case UnreadableItem(key=key, reason=reason, target=name):
                 self._timeline.record("item-unreadable", key=key, why=reason)
                 if name:
+                    self._registrations.drop_unproven(name)
                     self._remove_target(name)
 
     def apply_announcement(
@@ -526,7 +527,7 @@
             self._apply_target_removal(name)
             return
         now = self._clock.now()
-        if self._registrations.accepts(target, now):
+        if self._registrations.take(target, now):
             self._add_target(target, now)
         else:
             self._timeline.record("target-unproven", target=name)
--- a/kingcupvane/process/registrations.py
+++ b/kingcupvane/process/registrations.py
@@ -40,8 +40,8 @@
         self._returned_at = now
         self._era_began_at = now
 
-    def accepts(self, target: RegisteredTarget, now: float) -> bool:
-        """Returns whether a registration counts now.
+    def take(self, target: RegisteredTarget, now: float) -> bool:
+        """Notes a registration; returns whether it counts now.
 
         That of an instance which had been removed before the store came back
         counts once it changes, or after `RENEWAL_MAX_S`.
@@ -50,17 +50,18 @@
             target: The registration.
             now: Monotonic seconds.
         """
-        name = target.name
-        self._missing_names.discard(name)
-        if name in self._unproven_by_name:
-            del self._unproven_by_name[name]
-            return True
-        if (
+        self._missing_names.discard(target.name)
+        is_unproven = self._unproven_by_name.pop(target.name, None) is not None
+        instance = instance_of(target)
+        may_be_the_copys = (
             now - self._era_began_at < RENEWAL_MAX_S
-            and instance_of(target) in self._removed
-        ):
-            self._unproven_by_name[name] = target
+            and instance in self._removed
+            and not target.leaving
+        )
+        if may_be_the_copys and not is_unproven:
+            self._unproven_by_name[target.name] = target
             return False
+        self._removed.pop(instance, None)
         return True
 
     def drop_unproven(self, name: str) -> None:
@@ -89,6 +90,8 @@
             return []
         targets = list(self._unproven_by_name.values())
         self._unproven_by_name.clear()
+        for target in targets:
+            self._removed.pop(instance_of(target), None)
         return targets
 
     def note_removed(self, target: RegisteredTarget) -> None:
