Freshness: a mirror ahead of the store still asks when nobody confirms it

An answer below the mirror's position hid the signs by which a gateway asks the store itself, for as long as no other answer came. The test failed before.

--- a/kingcupvane/process/freshness.py
+++ b/kingcupvane/process/freshness.py
@@ -172,6 +172,9 @@
         """Returns whether the mirror is behind the store, and by what sign."""
         if self._is_ahead:
             return Staleness.AHEAD
+        return self._staleness_by_peers(now)
+
+    def _staleness_by_peers(self, now: float) -> Staleness:
         if (
             self._missing > self._mirror.as_of
             and now - self._missing_since > BEHIND_MAX_S
@@ -183,7 +186,4 @@
         return Staleness.NONE
 
     def _is_stale(self, now: float) -> bool:
-        return self.staleness(now) in (
-            Staleness.MISSING,
-            Staleness.UNCONFIRMED,
-        )
+        return self._staleness_by_peers(now) is not Staleness.NONE
--- a/kingcupvane/tests/test_freshness.py
+++ b/kingcupvane/tests/test_freshness.py
@@ -120,3 +120,11 @@
     freshness.confirm_own(at(5, era=1), 2.0)
     mirror.replace([], as_of=at(3, era=2))
     assert freshness.confirmation(2.0) is None
+
+
+def test_mirror_that_is_ahead_still_asks_the_store_when_nobody_confirms_it(
+    freshness,
+):
+    freshness.note_answer(at(7), asked_at=at(10))
+    assert freshness.staleness(0.1) is Staleness.AHEAD
+    assert freshness.must_ask_store(AGE_MAX_S + 0.1)
