Mirror: pruned tombstones drop no item of the same batch

Found by the review. The bound below which unknown keys count as removed rose within a batch, as tombstones were pruned, and a key that lives was dropped for good. It is read before the batch. The test failed before.

--- a/kingcupvane/process/mirror.py
+++ b/kingcupvane/process/mirror.py
@@ -77,8 +77,9 @@
                 )
                 changed.extend(self._apply(tombstone))
         is_late = as_of < self.as_of
+        listed_up_to = self._pruned_up_to
         for item in listed.values():
-            if not (is_late and self._was_removed(item)):
+            if not (is_late and self._was_removed(item, listed_up_to)):
                 changed.extend(self._apply(item))
         # A listing does not name the keys that were removed before it.
         self._pruned_up_to = max(self._pruned_up_to, as_of)
@@ -111,8 +112,12 @@
             The items that differ from the mirror's.
         """
         changed = []
+        # Read before the items, whose tombstones may raise it.
+        listed_up_to = self._pruned_up_to
         for item in items:
-            if item.era == self.as_of.era and not self._was_removed(item):
+            if item.era != self.as_of.era:
+                continue
+            if not self._was_removed(item, listed_up_to):
                 changed.extend(self._apply(item))
         return changed
 
@@ -131,17 +136,21 @@
             item for item in (*live, *tombstones) if item.position > position
         ]
 
-    def _was_removed(self, item: Item) -> bool:
+    def _was_removed(self, item: Item, listed_up_to: Position) -> bool:
         """Returns whether the key must have been removed since the item.
 
-        The mirror is complete, but has no tombstone of a key that was removed
-        before its last listing.
+        The mirror is complete up to its last listing and the pruned tombstones,
+        but has no tombstone of a key that was removed before.
+
+        Args:
+            item: The item.
+            listed_up_to: Position up to which tombstones may be missing.
         """
         is_known = (
             item.key in self._items_by_key
             or item.key in self._tombstones_by_key
         )
-        return not is_known and item.position <= self._pruned_up_to
+        return not is_known and item.position <= listed_up_to
 
     def _apply(self, item: Item) -> Iterator[Item]:
         """Applies a newer item; yields it if it says something else."""
@@ -152,6 +161,8 @@
         is_changed = known is None or not _is_same_write(item, known)
         if item.deleted:
             self._items_by_key.pop(key, None)
+            # The order is that of the removals, for the pruning.
+            self._tombstones_by_key.pop(key, None)
             self._tombstones_by_key[key] = item
             self._prune_tombstones()
         else:
--- a/kingcupvane/tests/test_mirror.py
+++ b/kingcupvane/tests/test_mirror.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from kingcupvane.process import mirror as mirror_module
 from kingcupvane.process.item import Item, Position
 from kingcupvane.process.mirror import Mirror
 
@@ -228,3 +229,16 @@
     mirror = _mirror_whose_listing_lacks_a_removed_key()
     mirror.replace(listed, as_of=Position(0, 9))
     assert contents(mirror) == {"missed": "v"}
+
+
+def test_tombstones_that_are_pruned_on_the_way_drop_no_later_item(monkeypatch):
+    monkeypatch.setattr(mirror_module, "TOMBSTONES_MAX", 2)
+    mirror = Mirror(prefix="")
+    mirror.replace([], as_of=Position(0, 1))
+    removals = [
+        Item(key=f"gone{number}", revision=number, deleted=True)
+        for number in (5, 6, 7, 8)
+    ]
+    live = Item(key="live", value="v", revision=3)
+    mirror.merge([*removals, live], as_of=Position(0, 8))
+    assert contents(mirror) == {"live": "v"}
