Registration: no call with a lease number of an earlier era

A gateway that stopped after the store had come back could revoke the lease of another one, which had its number by then, and a renewal answered across eras counted. The test failed before (revoke); the renewal has none of its own.

--- a/kingcupvane/process/replication.py
+++ b/kingcupvane/process/replication.py
@@ -460,6 +460,8 @@
                     self._listed_until = asked_at + self._ttl_s
             else:
                 reply = await self._store.renew(self._lease)
+                if self._lease_era != self._store.era.current:
+                    continue
                 if isinstance(reply, Ok) and reply.ok_value:
                     self._listed_until = asked_at + self._ttl_s
                 elif isinstance(reply, Ok):
@@ -476,7 +478,7 @@
         """Removes the record by revoking its lease."""
         self._listed_until = float("-inf")
         lease, self._lease = self._lease, 0
-        if lease:
+        if lease and self._lease_era == self._store.era.current:
             await self._store.revoke(lease)
 
     async def _register(self) -> int:
--- a/kingcupvane/tests/test_registration.py
+++ b/kingcupvane/tests/test_registration.py
@@ -27,6 +27,8 @@
         has_lease: Whether the lease that was granted still lives.
         grants: Number of leases that were granted.
         era: Era of the store.
+        revoked: Leases that were revoked.
+        registration: The registration that uses the store.
     """
 
     def __init__(self):
@@ -35,6 +37,11 @@
         self.has_lease = False
         self.grants = 0
         self.era = StoreEra()
+        self.revoked = []
+
+    async def revoke(self, lease):
+        self.revoked.append(lease)
+        return Ok(True)
 
     async def grant(self, ttl_s):
         self.grants += self.is_up
@@ -58,6 +65,7 @@
         ttl_s=TTL_S,
         clock=TrioClock(),
     )
+    store.registration = registration
 
     async def main():
         async with trio.open_nursery() as nursery:
@@ -116,3 +124,15 @@
         assert is_listed()
 
     run_registration(play)
+
+
+def test_lease_number_of_an_earlier_era_is_not_revoked():
+    """It may belong to another gateway by then."""
+
+    async def play(store, is_listed):
+        await trio.sleep(TTL_S)
+        store.era.hear(1)
+        await store.registration.withdraw()
+        assert not store.revoked
+
+    run_registration(play)
