Era: reports of peers tell it, not only their copies

Found by the review, by reading: at a store that names no era, a gateway that had missed its return and could copy from nobody went on in the old era although reports told a later one. No test of its own.

--- a/kingcupvane/process/replication.py
+++ b/kingcupvane/process/replication.py
@@ -367,6 +367,7 @@
         """
         now = self._clock.now()
         position = Position(message.era, message.as_of)
+        self._store.era.hear(position.era)
         self.freshness.note_position(position, now)
         if message.confirmation is not msgspec.UNSET:
             self.freshness.hear(message.confirmation, self._read_at(), now)
