--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -5,6 +5,7 @@
 import random
 import signal
 import socket
+import sys
 import time
 import tomllib
 from dataclasses import dataclass, field
@@ -153,6 +154,10 @@
             for name in ("PATH", "HOME", "LANG")
             if name in os.environ
         }
+        # Where the deploy file was not built, the libraries are those of the
+        # interpreter that runs this.
+        own_bin = Path(sys.executable).parent
+        environment["PATH"] = f"{own_bin}:{environment.get('PATH', '')}"
         environment["PYTHONPATH"] = str(ROOT / "target/deps")
         environment["KINGCUPVANE_CONFIG"] = str(path)
         with (self._folder / f"{gateway.name}.log").open("ab") as log:
