Positions: one name for the lowest, one place that tells the era

The position before the first change was written in two ways; a copy of a peer told its era twice; the return of the store was noted in two places. Behaviour as before; the tests of mirror, freshness, registrations, replication, reads, plans and restored stores pass.

--- a/kingcupvane/process/freshness.py
+++ b/kingcupvane/process/freshness.py
@@ -9,7 +9,7 @@
 import math
 
 from kingcupvane.process.confirmation import Confirmation, Confirmations
-from kingcupvane.process.item import Position
+from kingcupvane.process.item import LOWEST, Position
 from kingcupvane.process.mirror import Mirror
 
 # Time for which peers may know a newer position that cannot be copied from
@@ -57,12 +57,12 @@
         """
         self._mirror = mirror
         self._confirmations = Confirmations(origin=origin)
-        self._missing = Position()
+        self._missing = LOWEST
         self._missing_since = math.inf
         self._fallback_until = -math.inf
         self.confirmed_at = now
-        self.newest = Position()
-        self.answered = Position()
+        self.newest = LOWEST
+        self.answered = LOWEST
         self._is_ahead = False
 
     def note_answer(self, answered: Position, *, asked_at: Position) -> None:
--- a/kingcupvane/process/mirror.py
+++ b/kingcupvane/process/mirror.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Iterable, Iterator
 
-from kingcupvane.process.item import Item, Position
+from kingcupvane.process.item import LOWEST, Item, Position
 
 # Largest number of tombstones kept; a peer's mirror that lags behind the oldest
 # of them copies all items.
@@ -32,15 +32,15 @@
             prefix: Start of all keys to mirror.
         """
         self.prefix = prefix
-        self.as_of = Position()
+        self.as_of = LOWEST
         self._items_by_key: dict[str, Item] = {}
         self._tombstones_by_key: dict[str, Item] = {}
-        self._pruned_up_to = Position()
+        self._pruned_up_to = LOWEST
 
     @property
     def is_loaded(self) -> bool:
         """Whether the mirror has been filled, from the store or a peer."""
-        return self.as_of > Position()
+        return self.as_of > LOWEST
 
     def get(self, key: str) -> Item | None:
         """Returns the item of a key; None if absent."""
--- a/kingcupvane/process/registrations.py
+++ b/kingcupvane/process/registrations.py
@@ -37,7 +37,7 @@
 
     def begin_era(self, now: float) -> None:
         """Notes that the store has come back from an older copy."""
-        self._returned_at = now
+        self.mark_store_unreachable(now)
         self._era_began_at = now
 
     def take(self, target: RegisteredTarget, now: float) -> bool:
--- a/kingcupvane/process/replication.py
+++ b/kingcupvane/process/replication.py
@@ -23,7 +23,7 @@
 )
 from kingcupvane.process.confirmation import Confirmation, claimed_age_s
 from kingcupvane.process.freshness import MirrorFreshness, Staleness
-from kingcupvane.process.item import ABSENT_REVISION, Item, Position
+from kingcupvane.process.item import ABSENT_REVISION, LOWEST, Item, Position
 from kingcupvane.process.mirror import Mirror
 from kingcupvane.process.peering import PeerTable, store_watchers
 from kingcupvane.process.read_choice import Read, ReadChoice
@@ -387,7 +387,7 @@
         """
         mirror = self._mirror
         after = Position(request.era, request.after)
-        changes = mirror.changes_since(after) if after > Position() else None
+        changes = mirror.changes_since(after) if after > LOWEST else None
         whole = changes is None
         confirmation = self.latest_confirmation()
         return MirrorReply(
@@ -404,7 +404,6 @@
         now = self._clock.now()
         self.confirmed_at = now
         as_of = Position(reply.era, reply.as_of)
-        self._store.era.hear(as_of.era)
         if reply.whole:
             self._replace(reply.items, as_of=as_of)
         else:
--- a/kingcupvane/process/reporting.py
+++ b/kingcupvane/process/reporting.py
@@ -29,7 +29,7 @@
 from kingcupvane.process.confirmation import claimed_age_s
 from kingcupvane.process.crash_trials import CrashTrials
 from kingcupvane.process.evidence_collection import EvidenceCollector
-from kingcupvane.process.item import Position
+from kingcupvane.process.item import LOWEST, Position
 from kingcupvane.process.mirror import Mirror
 from kingcupvane.process.peering import PeerTable
 from kingcupvane.process.replication import StoreReplicator
@@ -85,7 +85,7 @@
         updated: Set when `as_of` and `address` are set.
     """
 
-    as_of: Position = Position()
+    as_of: Position = LOWEST
     address: str = ""
     updated: trio.Event = field(default_factory=trio.Event)
 
