--- a/kingcupvane/tests/test_platform_soak.py
+++ b/kingcupvane/tests/test_platform_soak.py
@@ -23,7 +23,7 @@
 
 BOUNDS = Bounds(apply_s=2.5, drain_s=2.5, contact_s=4.0, grace_s=6.0)
 # Scripts in which the store comes back from older copies.
-SEEDS = (27, 36)
+SEEDS = (1, 27, 36)
 SEED_LENGTH_S = 8.0
 OLD, NEW = "desk-1", "desk-2"
 GATEWAY, OTHER = "g-1", "g-2"
