--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -23,6 +23,8 @@
     write_response,
 )
 
+# `run` of the deploy file.
+COMMAND = ["python3", "-m", "kingcupvane.platform"]
 ROOT = Path(__file__).resolve().parents[2]
 ZONES = {
     "gulf-a": "gulf",
@@ -384,7 +386,7 @@
         }
         log = (self.folder / f"{gateway.name}.log").open("ab")
         gateway.process = await asyncio.create_subprocess_exec(
-            *"python3 -m kingcupvane.platform".split(),
+            *COMMAND,
             cwd=ROOT,
             env=environment,
             stdout=log,
