--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -378,7 +378,7 @@
         """Starts a gateway's process with the command of the deploy file."""
         environment = {
             "PATH": os.environ["PATH"],
-            "HOME": os.environ.get("HOME", "/tmp"),
+            "HOME": os.environ.get("HOME", ""),
             "LANG": "C.UTF-8",
             "PYTHONPATH": "target/deps",
             "PYTHONDONTWRITEBYTECODE": "1",
